--- /dev/null
+++ b/foxstep/__init__.py
@@ -0,0 +1,1 @@
+"""foxstep: a central planner behind plain proxies."""
--- /dev/null
+++ b/foxstep/balance.py
@@ -0,0 +1,446 @@
+"""Every decision of foxstep: which lines the proxies hold, what they let in, when they try again.
+
+How it is called: `Controller(now, site, seed)`, then the inputs (`listed`, `woken`, `probed`, `joined`, `left`,
+`heard`, `used`, ...), which only update what is known; after each batch the host pulls `next_order(now)` until
+it answers None. The contract and the orders stand in `foxstep/interface.py`, plain state in `foxstep/fleet.py`,
+the reasons in `docs/design.md`. `site` is a plain map of what was told at the start; times are microseconds.
+
+Order of the day: follow the list; once a period judge the servers, step the weights, fill the caps; then
+bring the proxies' tables up to date, rule-bound changes first, within what the channel takes.
+"""
+
+from itertools import count
+from zlib import crc32
+
+from foxstep.fleet import OpType, Proxy, Ring, Server
+
+SECOND = 1_000_000
+OPEN = 1_000_000               # a level no proxy reaches: nothing is turned away
+
+# The design's values (docs/design.md); those marked * are open to tuning.
+PERIOD = SECOND                # about 1 s, in whole cycles of reports
+HEADROOM = 0.1                 # * part of C kept free
+RHO = 0.2                      # * what a cap leaves above heard demand
+KNEE = 1.3                     # C over the acked rate when trouble shows as longer waits
+TROUBLE_PERIODS = 3
+ERRORS_UP, LATENCY_UP = 2.0, 1.5
+GROWTH = 1.05
+ACT_AT = 0.8                   # levels act while use is above this part of C
+LEAST_CAP = 0.05               # of H / op types
+EARNINGS_POWER = 3             # * class weights: demand x (earnings / best earnings) to this power
+STEP = 0.3                     # * the weight step's power, per period
+OFF_BY = 0.1                   # * a line is sent when this far off
+# Ours.
+CALM_ERRORS = 0.03             # errors under this part are calm
+FULL = 0.5                     # mean latency over this part of the mean target: rooms are full
+BAD = 0.5                      # aborted part at which a server is bad where the fleet is not
+BAD_TRIES = 4
+SOFT_PART = 0.3                # most of the fleet withdrawn on tries alone
+PACE = 0.5                     # part of the channel's stated speed that is counted on
+ROOM = 0.4                     # part of the backlog for what can wait; rule-bound changes may use 0.9
+COLD_CAUTION = 0.8             # a cold server gets this part of what it surely can do
+
+
+class Controller:
+    def __init__(self, now, site, seed):
+        self.now, self.site, self.seed = now, site, seed
+        self.counter = count()
+        self.op_types = [OpType(place, facts) for place, facts in enumerate(site["op_types"])]
+        self.by_name = {op_type.name: op_type for op_type in self.op_types}
+        self.cycle = max(site.get("cycle", PERIOD), 1)
+        self.period = max(1, round(PERIOD / self.cycle)) * self.cycle
+        self.servers, self.proxies = {}, {}      # by id, for the door only
+        self.deciding = None
+        self.due = now
+        self.pressing = True                     # something cannot wait for the period
+        self.asked_at, self.ask_again, self.list_fails = None, now, 0
+        self.capacity = None                     # C, in ops a second of this controller's own proxies
+        self.trouble = 0                         # periods of it in a row
+        self.calm_latency = min((o.target_latency for o in self.op_types), default=SECOND) / 3
+        self.binding = False
+        self.caps = [None] * len(self.op_types)  # ops a second let in; None: all
+        self.waiting, self.waiting_at = 0.0, now  # lines thought to wait in the channel
+        self.kinds = {}                          # kind -> mean weight learnt
+
+    def chance(self):
+        """The next number in [0, 1) from this instance's seed."""
+        return crc32(b"%d:%d" % (self.seed, next(self.counter))) / 2**32
+
+    # -- what comes in: only what is known changes -------------------------------------------------------------
+
+    def listed(self, now, how, lines):
+        if how == "failed":
+            self.list_fails += 1
+            wait = min(self.site.get("ask_within", 8 * SECOND) / 2, SECOND / 2 * 2 ** min(self.list_fails, 6))
+            self.ask_again = now + int(wait * (0.5 + self.chance()))
+            return
+        if how != "remembered":
+            self.list_fails = 0
+        named = {}
+        for ident, zone, kind, cell, state, weight, started in lines:
+            server = self.servers.get(ident)
+            if server is None:
+                server = self.servers[ident] = Server(ident)
+                server.tries = Ring(self.cycle, 8, 4)
+                server.loads = Ring(self.cycle, 8, 3)
+            if state == "open" and (server.state != "open" or started > server.started):
+                self.begin(server, now, started)
+            server.zone, server.kind, server.cell = zone, kind, cell
+            server.state, server.listed_weight = state, weight
+            named[ident] = True
+        if how != "changes":
+            for ident, server in self.servers.items():
+                if ident not in named:
+                    server.state = "gone"
+        self.pressing = True
+
+    def begin(self, server, now, started):
+        """A process that has just been listed (or again): what its forerunner did says nothing of it."""
+        server.started, server.trust, server.trust_since = started, 1.0, now
+        server.probes_good = server.probes_bad = server.probe_out = 0
+
+    def woken(self, now, mark):
+        pass
+
+    def probed(self, now, ident, outcome, took, load):
+        server = self.servers[ident]
+        server.probe_out = 0
+        if outcome in ("acked", "rejected"):
+            server.probes_good, server.probes_bad = server.probes_good + 1, 0
+        else:
+            server.probes_good, server.probes_bad = 0, server.probes_bad + 1
+        self.note_load(server, now, load)
+
+    def note_load(self, server, now, load):
+        if load:
+            held = load.get("waiting", load.get("holding", 0.0))
+            server.loads.add(now, 1, load.get("busy", 0.0), held)
+
+    def told(self, now, peer, payload):
+        pass
+
+    def joined(self, now, ident, zone, rate, fresh):
+        proxy = self.proxies.get(ident)
+        if proxy is None:
+            proxy = self.proxies[ident] = Proxy(ident)
+            proxy.usage = [Ring(self.cycle, 8, 2) for _ in self.op_types]
+            proxy.levels = [None] * len(self.op_types)
+        elif self.capacity and not proxy.joined:
+            self.capacity *= 1 + self.usage_part(proxy, rate)
+        proxy.messages = Ring(max(self.site.get("messages_window", 0) // 10, SECOND), 11, 1)
+        proxy.zone, proxy.rate, proxy.joined, proxy.bound = zone, rate, True, False
+        self.pressing = True
+
+    def left(self, now, ident):
+        proxy = self.proxies.get(ident)
+        if proxy and proxy.joined:
+            if self.capacity:
+                self.capacity /= 1 + self.usage_part(proxy, proxy.rate)
+            proxy.joined = False
+
+    def usage_part(self, proxy, rate):
+        """What a proxy adds to the others' listed rate."""
+        others = sum(p.rate for p in self.proxies.values() if p.joined and p is not proxy)
+        return rate / others if others else 0.0
+
+    def heard(self, now, ident, zone, tries, aborted, latency, window, load):
+        server = self.servers.get(ident)
+        if server:
+            acked = tries - aborted
+            server.tries.add(now, tries, aborted, acked, latency * acked)
+            self.note_load(server, now, load)
+
+    def used(self, now, ident, op_type, ops, unanswered, window):
+        proxy = self.proxies.get(ident)
+        if proxy:
+            proxy.usage[self.by_name[op_type].place].add(now, ops, unanswered)
+
+    def applied(self, now, ident, number, took):
+        pass
+
+    # -- what is decided ---------------------------------------------------------------------------------------
+
+    def next_order(self, now):
+        if self.deciding is None:
+            self.now = now
+            self.deciding = self.decide()
+        order = next(self.deciding, None)
+        if order is None:
+            self.deciding = None
+        return order
+
+    def decide(self):
+        yield from self.follow_list()
+        tick = self.now >= self.due
+        if tick:
+            self.due = self.now + self.period
+            yield ("wake", self.due, "period")
+            self.judge_servers()
+            self.place_servers()
+            self.step_weights()
+            yield from self.set_caps()
+            yield from self.probe()
+        if tick or self.pressing:
+            self.pressing = False
+            self.place_servers()
+            yield from self.update_proxies(tick)
+
+    def follow_list(self):
+        """One subscription, asked for again after a failure, spread and backed off."""
+        if self.site.get("list_asked") and self.ask_again is not None and self.now >= self.ask_again:
+            self.ask_again = None
+            yield ("watch", True)
+
+    def open_servers(self):
+        return [s for s in self.servers.values() if s.state == "open"]
+
+    def joined_proxies(self):
+        return [p for p in self.proxies.values() if p.joined]
+
+    def warmth(self, server):
+        """What a server surely can do of its usual work: its ramp is never slower than even."""
+        ramp, cold = self.site.get("ramp", 0), self.site.get("cold_share", 1.0)
+        age = self.now - server.started
+        if not server.started or age >= ramp:
+            return 1.0
+        return (cold + (1 - cold) * max(age, 0) / ramp) * COLD_CAUTION
+
+    # Health
+
+    def probe(self):
+        """Load reports where answers carry none, and word of whether the process runs."""
+        if not self.site.get("probes"):
+            return
+        for server in self.open_servers():
+            if not server.probe_out or self.now - server.probe_out > 5 * self.period:
+                server.probe_out = self.now
+                yield ("probe", server.ident)
+
+    def judge_servers(self):
+        """Withdraws a server that fails where the fleet does not, and takes one back by a graded trial.
+
+        Guards against one server down, silent or failing fast. All bad at once is no server's fault: none goes.
+        """
+        candidates = self.open_servers()
+        span = max(3, -(-2 * SECOND // self.cycle))
+        parts = []
+        for server in candidates:
+            tries, aborted, _, _ = server.tries.sums(self.now, span, server.trust_since)
+            server.aborted_part = aborted / tries if tries >= BAD_TRIES else None
+            if server.aborted_part is not None and server.trust > 0:
+                parts.append(server.aborted_part)
+        usual = sorted(parts)[len(parts) // 2] if parts else 0.0
+        out = sum(1 for s in candidates if s.trust == 0)
+        for server in candidates:
+            unreachable = server.probes_bad >= 2
+            failing = server.aborted_part is not None and server.aborted_part > BAD + BAD * usual
+            if server.trust > 0:
+                soft = out < SOFT_PART * len(candidates) - 1
+                if (unreachable and (failing or server.aborted_part is None)) or (failing and soft):
+                    server.trust, server.trust_since = 0.0, self.now
+                    out += 1
+                    self.pressing = True
+                elif server.trust < 1 and self.now - server.trust_since >= 2 * self.period:
+                    server.trust, server.trust_since = min(1.0, server.trust * 2), self.now
+            elif self.now - server.trust_since >= 2 * self.period and server.probes_good >= 2:
+                server.trust, server.trust_since = self.site.get("cold_share", 0.2), self.now
+
+    # Weights: one vector for all proxies
+
+    def place_servers(self):
+        """A server not yet placed starts at its kind's learnt weight, by the list's word of its size."""
+        for server in self.servers.values():
+            if server.weight is None and server.state == "open":
+                server.weight = self.kinds.get(server.kind, 1.0) * max(server.listed_weight, 0.01)
+
+    def load(self, server):
+        """Busy cores, and the wait of what is held as a part of the mean target latency; None: unknown."""
+        reports, busy, held = server.loads.sums(self.now, max(3, -(-2 * SECOND // self.cycle)))
+        if not reports:
+            return None
+        span = 8 * self.cycle / SECOND
+        _, _, acked, latency = server.tries.sums(self.now)
+        part = len(self.joined_proxies()) / max(self.site.get("proxies", 1), 1)
+        rate = acked / span / max(part, 0.05)
+        target = sum(o.target_latency for o in self.op_types) / len(self.op_types) / SECOND
+        wait = held / reports / max(rate, 0.5)
+        return max(busy / reports + wait / target, 0.05)
+
+    def step_weights(self):
+        """The design's small step, weight x (mean load / load)^STEP, on servers that are warm and trusted."""
+        loads = [(s, self.load(s)) for s in self.open_servers() if s.trust == 1 and self.warmth(s) == 1]
+        loads = [(s, load) for s, load in loads if load is not None]
+        if len(loads) < 2:
+            return
+        mean = sum(load for _, load in loads) / len(loads)
+        for server, load in loads:
+            server.weight *= min(max((mean / load) ** STEP, 0.8), 1.25)
+        scale = len(loads) / sum(s.weight for s, _ in loads)
+        grouped = {}
+        for server, _ in loads:
+            server.weight = min(max(server.weight * scale, 0.1), 4.0)
+            grouped.setdefault(server.kind, []).append(server.weight / max(server.listed_weight, 0.01))
+        for kind, weights in grouped.items():
+            self.kinds[kind] = sum(weights) / len(weights)
+
+    # Capacity and caps
+
+    def fleet_state(self):
+        """Median latency and aborted part over servers, and the acked rate: one failing server moves none."""
+        span = max(2, -(-2 * SECOND // self.cycle))
+        latencies, errors, rate = [], [], 0.0
+        for server in self.open_servers():
+            tries, aborted, acked, latency = server.tries.sums(self.now, span)
+            rate += acked
+            if tries >= BAD_TRIES and server.trust > 0:
+                errors.append(aborted / tries)
+                if acked:
+                    latencies.append(latency / acked)
+        middle = [sorted(values)[len(values) // 2] if values else 0.0 for values in (latencies, errors)]
+        return (*middle, rate * SECOND / (span * self.cycle))
+
+    def set_caps(self):
+        """C from trouble and calm, then the caps by water filling while use is near C."""
+        latency, errors, acked = self.fleet_state()
+        if latency and errors <= CALM_ERRORS:
+            self.calm_latency = min(self.calm_latency, latency)
+        targets = sum(o.target_latency for o in self.op_types) / len(self.op_types)
+        if errors > ERRORS_UP * CALM_ERRORS or latency > LATENCY_UP * self.calm_latency:
+            self.trouble += 1
+            if self.trouble >= TROUBLE_PERIODS:
+                # Longer waits show the knee, at about 1 / KNEE of capacity; full rooms show capacity itself.
+                found = acked * (1.0 if latency > FULL * targets else KNEE)
+                if self.capacity is None or found < self.capacity:
+                    yield ("note", f"C {self.capacity} -> {found:.1f} latency {latency:.0f} errors {errors:.2f}")
+                    self.capacity = found
+                self.trouble = 0
+        else:
+            self.trouble = 0
+            if self.capacity:
+                self.capacity *= GROWTH
+        span = max(2, -(-2 * SECOND // self.cycle))
+        joined = self.joined_proxies()
+        heard = [sum(p.usage[o.place].sums(self.now, span)[0] for p in joined) * SECOND / (span * self.cycle)
+                 for o in self.op_types]
+        self.binding = bool(self.capacity) and sum(heard) > ACT_AT * self.capacity
+        self.caps = self.fill(heard) if self.binding else [None] * len(heard)
+        yield ("note", f"C {self.capacity and round(self.capacity)} heard {[round(h) for h in heard]} acked "
+               f"{acked:.0f} lat {latency / 1000:.0f} calm {self.calm_latency / 1000:.0f} err {errors:.2f} "
+               f"caps {self.caps}")
+
+    def fill(self, heard):
+        """Weighted water filling: what one op type cannot use passes to the others by weight, in turn."""
+        budget = (1 - HEADROOM) * self.capacity
+        best = max(o.earnings for o in self.op_types)
+        weights = [max(d, 0.1) * (o.earnings / best) ** EARNINGS_POWER
+                   for o, d in zip(self.op_types, heard, strict=True)]
+        least = LEAST_CAP * budget / len(heard)
+        caps, left = [0.0] * len(heard), list(range(len(heard)))
+        while left:
+            total = sum(weights[k] for k in left)
+            level = budget / total
+            sated = [k for k in left if heard[k] * (1 + RHO) <= level * weights[k]]
+            if not sated:
+                for k in left:
+                    caps[k] = max(level * weights[k], least)
+                break
+            for k in sated:
+                caps[k] = None
+                budget = max(budget - heard[k] * (1 + RHO), 0.0)
+                left.remove(k)
+        return caps
+
+    def levels_for(self, proxy, joined):
+        """Quota and further tries for each op type at one proxy."""
+        kind, usual = self.site.get("level", "none"), self.site.get("usual_tries", 0)
+        tries = 0 if self.binding else usual
+        levels = []
+        for op_type, cap in zip(self.op_types, self.caps, strict=True):
+            if cap is None or kind == "none":
+                quota = OPEN if kind == "rate" else 1.0
+            else:
+                total = sum(p.usage[op_type.place].sums(self.now)[0] for p in joined)
+                own = proxy.usage[op_type.place].sums(self.now)[0]
+                if kind == "rate":
+                    quota = cap * (own + 0.5) / (total + 0.5 * len(joined))
+                else:
+                    quota = min(1.0, cap / max(total * SECOND / (8 * self.cycle), 0.1))
+            levels.append((quota, tries))
+        return levels
+
+    # Tables and the channel
+
+    def lines(self):
+        """The weight of every server that may be picked; where none is trusted, none is distrusted."""
+        candidates = self.open_servers()
+        lines = {s: s.weight * self.warmth(s) * s.trust for s in candidates if s.trust > 0}
+        return lines or {s: s.weight * self.warmth(s) for s in candidates}
+
+    def room(self, lines, part):
+        """Whether the channel takes so many more lines, if it runs at PACE of its stated speed."""
+        sent = (self.now - self.waiting_at) / SECOND * self.site.get("lines_per_s", 1000) * PACE
+        self.waiting, self.waiting_at = max(0.0, self.waiting - sent), self.now
+        return self.waiting + lines <= part * self.site.get("backlog", 1000)
+
+    def may_write(self, proxy, part):
+        most = self.site.get("messages_most", 0)
+        return not most or proxy.messages.sums(self.now)[0] + 1 <= part * most
+
+    def update_proxies(self, tick):
+        """Brings each proxy's own table up to the one shared vector; changes only, one message a proxy."""
+        want, joined = self.lines(), self.joined_proxies()
+        head = self.site.get("head", 0)
+        work = []
+        for proxy in joined:
+            table = proxy.ident
+            changed, urgent = [], not proxy.bound
+            for server in proxy.lines:
+                if server not in want:
+                    changed.append((server, 0))
+                    urgent = True
+            stale = [s for s, w in want.items() if s not in proxy.lines
+                     or abs(proxy.lines[s] / w - 1) > OFF_BY]
+            if any(s in proxy.lines and self.warmth(s) < 1 and proxy.lines[s] > 1.5 * want[s] for s in stale):
+                urgent = True
+            if stale:
+                changed += [(s, w) for s, w in want.items() if s not in proxy.lines
+                            or abs(proxy.lines[s] / w - 1) > OFF_BY / 2]
+            levels = self.level_changes(proxy, joined) if tick or urgent else []
+            if changed or levels or not proxy.bound:
+                work.append((not urgent, len(work), proxy, table, changed, levels))
+        for calm, _, proxy, table, changed, levels in sorted(work, key=lambda item: item[:2]):
+            if calm and not tick:
+                continue
+            cost = head + len(changed) + len(levels)
+            if not proxy.bound:
+                cost = head + 2 + len(want) + 2 * len(self.op_types)
+            if not self.room(cost, ROOM if calm else 0.9) or not self.may_write(proxy, 0.6 if calm else 0.95):
+                self.pressing = self.pressing or not calm
+                continue
+            self.waiting += cost
+            proxy.messages.add(self.now, 1)
+            for server, weight in changed:
+                yield ("weigh", table, server.ident, round(weight, 4))
+                if weight:
+                    proxy.lines[server] = weight
+                else:
+                    del proxy.lines[server]
+            for mask, quota, tries, places in levels:
+                yield ("admit", table, mask, round(quota, 3), tries)
+                for place in places:
+                    proxy.levels[place] = (quota, tries)
+            if not proxy.bound:
+                proxy.bound = True
+                yield ("bind", proxy.ident, table, 0)
+
+    def level_changes(self, proxy, joined):
+        """Levels that differ enough from those ordered, op types with equal ones in one line."""
+        if not self.binding and all(level is None for level in proxy.levels):
+            return []
+        grouped = {}
+        for place, (quota, tries) in enumerate(self.levels_for(proxy, joined)):
+            ordered = proxy.levels[place]
+            if ordered is None or ordered[1] != tries or abs(ordered[0] - quota) > OFF_BY * ordered[0]:
+                grouped.setdefault((quota, tries), []).append(place)
+        return [(sum(1 << place for place in places), quota, tries, places)
+                for (quota, tries), places in grouped.items()]
--- /dev/null
+++ b/foxstep/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts controllers on the simulator's wire: codec, names and units, instances. Nothing is decided here."""
