Decide when the reports come, each report round in a bucket of its own

Cause: rings counted whole buckets while reports come once a cycle, so rates were half the true ones and caps far too low.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -51,7 +51,9 @@
         self.period = max(1, round(PERIOD / self.cycle)) * self.cycle
         self.servers, self.proxies = {}, {}      # by id, for the door only
         self.deciding = None
-        self.due = now
+        self.due, self.decided_at, self.reported = now, now - self.period, False
+        self.span = max(2, -(-2 * SECOND // self.cycle))  # buckets that make up what counts as recent
+        self.shift = None                        # puts the reports' arrival into the middle of a bucket
         self.pressing = True                     # something cannot wait for the period
         self.asked_at, self.ask_again, self.list_fails = None, now, 0
         self.capacity = None                     # C, in ops a second of this controller's own proxies
@@ -102,6 +104,16 @@
     def woken(self, now, mark):
         pass
 
+    def bucket_time(self, now):
+        """Time for the rings. Reports come all at once, a cycle apart: each round gets a bucket of its own."""
+        return now + (self.shift or 0)
+
+    def report_came(self, now):
+        if self.shift is None:
+            self.shift = self.cycle // 2 - now % self.cycle
+        self.reported = True
+        return self.bucket_time(now)
+
     def probed(self, now, ident, outcome, took, load):
         server = self.servers[ident]
         server.probe_out = 0
@@ -114,7 +126,7 @@
     def note_load(self, server, now, load):
         if load:
             held = load.get("waiting", load.get("holding", 0.0))
-            server.loads.add(now, 1, load.get("busy", 0.0), held)
+            server.loads.add(self.bucket_time(now), 1, load.get("busy", 0.0), held)
 
     def told(self, now, peer, payload):
         pass
@@ -147,13 +159,13 @@
         server = self.servers.get(ident)
         if server:
             acked = tries - aborted
-            server.tries.add(now, tries, aborted, acked, latency * acked)
+            server.tries.add(self.report_came(now), tries, aborted, acked, latency * acked)
             self.note_load(server, now, load)
 
     def used(self, now, ident, op_type, ops, unanswered, window):
         proxy = self.proxies.get(ident)
         if proxy:
-            proxy.usage[self.by_name[op_type].place].add(now, ops, unanswered)
+            proxy.usage[self.by_name[op_type].place].add(self.report_came(now), ops, unanswered)
 
     def applied(self, now, ident, number, took):
         pass
@@ -171,14 +183,19 @@
 
     def decide(self):
         yield from self.follow_list()
-        tick = self.now >= self.due
+        # A period ends with the reports, so that what they tell is acted on at once; without any, by the timer.
+        whole = self.now - self.decided_at >= self.period - self.cycle // 2
+        tick = self.now >= self.due or (self.reported and whole)
         if tick:
-            self.due = self.now + self.period
+            self.recent = self.bucket_time(self.now)
+            self.due, self.decided_at = self.now + self.period * 3 // 2, self.now
             yield ("wake", self.due, "period")
             self.judge_servers()
             self.place_servers()
-            self.step_weights()
-            yield from self.set_caps()
+            if self.reported:
+                self.reported = False
+                self.step_weights()
+                yield from self.set_caps()
             yield from self.probe()
         if tick or self.pressing:
             self.pressing = False
@@ -191,6 +208,10 @@
             self.ask_again = None
             yield ("watch", True)
 
+    def seconds(self):
+        """The stretch that counts as recent."""
+        return self.span * self.cycle / SECOND
+
     def open_servers(self):
         return [s for s in self.servers.values() if s.state == "open"]
 
@@ -222,10 +243,10 @@
         Guards against one server down, silent or failing fast. All bad at once is no server's fault: none goes.
         """
         candidates = self.open_servers()
-        span = max(3, -(-2 * SECOND // self.cycle))
         parts = []
         for server in candidates:
-            tries, aborted, _, _ = server.tries.sums(self.now, span, server.trust_since)
+            tries, aborted, _, _ = server.tries.sums(
+                self.recent, self.span, self.bucket_time(server.trust_since))
             server.aborted_part = aborted / tries if tries >= BAD_TRIES else None
             if server.aborted_part is not None and server.trust > 0:
                 parts.append(server.aborted_part)
@@ -255,13 +276,12 @@
 
     def load(self, server):
         """Busy cores, and the wait of what is held as a part of the mean target latency; None: unknown."""
-        reports, busy, held = server.loads.sums(self.now, max(3, -(-2 * SECOND // self.cycle)))
+        reports, busy, held = server.loads.sums(self.recent, self.span)
         if not reports:
             return None
-        span = 8 * self.cycle / SECOND
-        _, _, acked, latency = server.tries.sums(self.now)
+        _, _, acked, latency = server.tries.sums(self.recent, self.span)
         part = len(self.joined_proxies()) / max(self.site.get("proxies", 1), 1)
-        rate = acked / span / max(part, 0.05)
+        rate = acked / self.seconds() / max(part, 0.05)
         target = sum(o.target_latency for o in self.op_types) / len(self.op_types) / SECOND
         wait = held / reports / max(rate, 0.5)
         return max(busy / reports + wait / target, 0.05)
@@ -287,17 +307,16 @@
 
     def fleet_state(self):
         """Median latency and aborted part over servers, and the acked rate: one failing server moves none."""
-        span = max(2, -(-2 * SECOND // self.cycle))
         latencies, errors, rate = [], [], 0.0
         for server in self.open_servers():
-            tries, aborted, acked, latency = server.tries.sums(self.now, span)
+            tries, aborted, acked, latency = server.tries.sums(self.recent, self.span)
             rate += acked
             if tries >= BAD_TRIES and server.trust > 0:
                 errors.append(aborted / tries)
                 if acked:
                     latencies.append(latency / acked)
         middle = [sorted(values)[len(values) // 2] if values else 0.0 for values in (latencies, errors)]
-        return (*middle, rate * SECOND / (span * self.cycle))
+        return (*middle, rate / self.seconds())
 
     def set_caps(self):
         """C from trouble and calm, then the caps by water filling while use is near C."""
@@ -318,9 +337,8 @@
             self.trouble = 0
             if self.capacity:
                 self.capacity *= GROWTH
-        span = max(2, -(-2 * SECOND // self.cycle))
         joined = self.joined_proxies()
-        heard = [sum(p.usage[o.place].sums(self.now, span)[0] for p in joined) * SECOND / (span * self.cycle)
+        heard = [sum(p.usage[o.place].sums(self.recent, self.span)[0] for p in joined) / self.seconds()
                  for o in self.op_types]
         self.binding = bool(self.capacity) and sum(heard) > ACT_AT * self.capacity
         self.caps = self.fill(heard) if self.binding else [None] * len(heard)
@@ -359,12 +377,12 @@
             if cap is None or kind == "none":
                 quota = OPEN if kind == "rate" else 1.0
             else:
-                total = sum(p.usage[op_type.place].sums(self.now)[0] for p in joined)
-                own = proxy.usage[op_type.place].sums(self.now)[0]
+                total = sum(p.usage[op_type.place].sums(self.recent, self.span)[0] for p in joined)
+                own = proxy.usage[op_type.place].sums(self.recent, self.span)[0]
                 if kind == "rate":
                     quota = cap * (own + 0.5) / (total + 0.5 * len(joined))
                 else:
-                    quota = min(1.0, cap / max(total * SECOND / (8 * self.cycle), 0.1))
+                    quota = min(1.0, cap / max(total / self.seconds(), 0.1))
             levels.append((quota, tries))
         return levels
 
