Lower C only while the pool is used near it, and not before the last cut can show

Cause: with levels acting, trouble of another origin or a queue still being worked off lowered C again and again.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -306,33 +306,38 @@
     # Capacity and caps
 
     def fleet_state(self):
-        """Median latency and aborted part over servers, and the acked rate: one failing server moves none."""
-        latencies, errors, rate = [], [], 0.0
+        """Median latency and aborted part over servers, rates acked and tried: one failing server moves none."""
+        latencies, errors, rate, tried = [], [], 0.0, 0.0
         for server in self.open_servers():
             tries, aborted, acked, latency = server.tries.sums(self.recent, self.span)
             rate += acked
+            tried += tries
             if tries >= BAD_TRIES and server.trust > 0:
                 errors.append(aborted / tries)
                 if acked:
                     latencies.append(latency / acked)
         middle = [sorted(values)[len(values) // 2] if values else 0.0 for values in (latencies, errors)]
-        return (*middle, rate / self.seconds())
+        return (*middle, rate / self.seconds(), tried / self.seconds())
 
     def set_caps(self):
         """C from trouble and calm, then the caps by water filling while use is near C."""
-        latency, errors, acked = self.fleet_state()
+        latency, errors, acked, tried = self.fleet_state()
         if latency and errors <= CALM_ERRORS:
             self.calm_latency = min(self.calm_latency, latency)
         targets = sum(o.target_latency for o in self.op_types) / len(self.op_types)
-        if errors > ERRORS_UP * CALM_ERRORS or latency > LATENCY_UP * self.calm_latency:
+        slow = latency > LATENCY_UP * self.calm_latency
+        # Trouble while the pool is used well below C has another cause, and lowering C would not end it.
+        if slow or errors > ERRORS_UP * CALM_ERRORS and tried > ACT_AT * (self.capacity or 0):
             self.trouble += 1
-            if self.trouble >= TROUBLE_PERIODS:
+            if self.trouble >= TROUBLE_PERIODS and tried > ACT_AT * (self.capacity or 0):
                 # Longer waits show the knee, at about 1 / KNEE of capacity; full rooms show capacity itself.
                 found = acked * (1.0 if latency > FULL * targets else KNEE)
                 if self.capacity is None or found < self.capacity:
                     yield ("note", f"C {self.capacity} -> {found:.1f} latency {latency:.0f} errors {errors:.2f}")
                     self.capacity = found
-                self.trouble = 0
+                    # What was let in before has to be worked off before waits say anything of the new C.
+                    lag = self.site.get("transit_most", 0) + max(o.target_latency for o in self.op_types)
+                    self.trouble = -round(lag / self.period)
         else:
             self.trouble = 0
             if self.capacity:
