Trouble says something of C only while the cores are busy

Where load reports tell busy cores, trouble now counts only above 0.75 of them; without such reports, only while use is above 0.8 of C.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -32,6 +32,7 @@
 OFF_BY = 0.1                   # * a line is sent when this far off
 # Ours.
 CALM_ERRORS = 0.03             # errors under this part are calm
+BUSY = 0.75                    # busy part of the cores from which on trouble is the pool's
 FULL = 0.5                     # mean latency over this part of the mean target: rooms are full
 BAD = 0.5                      # aborted part at which a server is bad where the fleet is not
 BAD_TRIES = 4
@@ -319,6 +320,15 @@
         middle = [sorted(values)[len(values) // 2] if values else 0.0 for values in (latencies, errors)]
         return (*middle, rate / self.seconds(), tried / self.seconds())
 
+    def busy(self):
+        """Median part of the cores that is busy, over servers that report it; None: none does."""
+        parts = []
+        for server in self.open_servers():
+            reports, busy, _ = server.loads.sums(self.recent, self.span)
+            if reports and server.trust > 0:
+                parts.append(busy / reports)
+        return sorted(parts)[len(parts) // 2] if parts and "busy" in self.site.get("reports", []) else None
+
     def set_caps(self):
         """C from trouble and calm, then the caps by water filling while use is near C."""
         latency, errors, acked, tried = self.fleet_state()
@@ -326,10 +336,12 @@
             self.calm_latency = min(self.calm_latency, latency)
         targets = sum(o.target_latency for o in self.op_types) / len(self.op_types)
         slow = latency > LATENCY_UP * self.calm_latency
-        # Trouble while the pool is used well below C has another cause, and lowering C would not end it.
-        if slow or errors > ERRORS_UP * CALM_ERRORS and tried > ACT_AT * (self.capacity or 0):
+        # Trouble while cores idle (or, unreported, use is far from C) has another cause; a lower C would not help.
+        busy = self.busy()
+        near = tried > ACT_AT * (self.capacity or 0) if busy is None else busy > BUSY
+        if (slow or errors > ERRORS_UP * CALM_ERRORS) and near:
             self.trouble += 1
-            if self.trouble >= TROUBLE_PERIODS and tried > ACT_AT * (self.capacity or 0):
+            if self.trouble >= TROUBLE_PERIODS:
                 # Longer waits show the knee, at about 1 / KNEE of capacity; full rooms show capacity itself.
                 found = acked * (1.0 if latency > FULL * targets else KNEE)
                 if self.capacity is None or found < self.capacity:
@@ -339,8 +351,8 @@
                     lag = self.site.get("transit_most", 0) + max(o.target_latency for o in self.op_types)
                     self.trouble = -round(lag / self.period)
         else:
-            self.trouble = 0
-            if self.capacity:
+            self.trouble = max(self.trouble + 1, 0) if self.trouble < 0 else 0
+            if self.capacity and not slow:
                 self.capacity *= GROWTH
         joined = self.joined_proxies()
         heard = [sum(p.usage[o.place].sums(self.recent, self.span)[0] for p in joined) / self.seconds()
