--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -25,6 +25,7 @@
 TROUBLE_PERIODS = 3
 ERRORS_UP, LATENCY_UP = 2.0, 1.5
 GROWTH = 1.05
+FAST_GROWTH = 1.25             # ours: most a period, while caps bind and cores idle
 ACT_AT = 0.8                   # levels act while use is above this part of C
 LEAST_CAP = 0.05               # of H / op types
 EARNINGS_POWER = 3             # * class weights: demand x (earnings / best earnings) to this power
@@ -353,7 +354,9 @@
         else:
             self.trouble = max(self.trouble + 1, 0) if self.trouble < 0 else 0
             if self.capacity and not slow:
-                self.capacity *= GROWTH
+                # Growth is faster while caps bind and the cores are seen idle: C was set in a collapse, too low.
+                idle = BUSY / max(busy, 0.1) if self.binding and busy else 1.0
+                self.capacity *= min(max(idle ** STEP, GROWTH), FAST_GROWTH)
         joined = self.joined_proxies()
         heard = [sum(p.usage[o.place].sums(self.recent, self.span)[0] for p in joined) / self.seconds()
                  for o in self.op_types]
