--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -354,9 +354,13 @@
         else:
             self.trouble = max(self.trouble + 1, 0) if self.trouble < 0 else 0
             if self.capacity and not slow:
-                # Growth is faster while caps bind and the cores are seen idle: C was set in a collapse, too low.
-                idle = BUSY / max(busy, 0.1) if self.binding and busy else 1.0
-                self.capacity *= min(max(idle ** STEP, GROWTH), FAST_GROWTH)
+                # Where reports tell busy cores, they show how far C may grow, and soon after a collapse in which
+                # it was set too low. Harm: a rate that is busy with something else than ops reads as capacity.
+                shown = acked / max(busy, 0.2) if busy else None
+                faster = self.binding and shown and shown > self.capacity
+                if shown is None or self.capacity < KNEE * shown:
+                    self.capacity = max(GROWTH * self.capacity,
+                                        min(FAST_GROWTH * self.capacity, shown) if faster else 0.0)
         joined = self.joined_proxies()
         heard = [sum(p.usage[o.place].sums(self.recent, self.span)[0] for p in joined) / self.seconds()
                  for o in self.op_types]
