Full rooms set C at once

Waits beyond half the mean target latency mean full rooms: by the design's three periods the queue is seconds long. Could do harm where one very slow op type alone lifts the median wait of most servers.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -341,10 +341,11 @@
         busy = self.busy()
         near = tried > ACT_AT * (self.capacity or 0) if busy is None else busy > BUSY
         if (slow or errors > ERRORS_UP * CALM_ERRORS) and near:
-            self.trouble += 1
+            full = latency > FULL * targets
+            self.trouble += 1 if self.trouble < 0 or not full else TROUBLE_PERIODS
             if self.trouble >= TROUBLE_PERIODS:
                 # Longer waits show the knee, at about 1 / KNEE of capacity; full rooms show capacity itself.
-                found = acked * (1.0 if latency > FULL * targets else KNEE)
+                found = acked * (1.0 if full else KNEE)
                 if self.capacity is None or found < self.capacity:
                     yield ("note", f"C {self.capacity} -> {found:.1f} latency {latency:.0f} errors {errors:.2f}")
                     self.capacity = found
