C may grow while cores idle, whatever the waits look like

Cause: the calm latency learnt at the thin start was so low that every later wait passed for long, and C never grew again.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -354,7 +354,7 @@
                     self.trouble = -round(lag / self.period)
         else:
             self.trouble = max(self.trouble + 1, 0) if self.trouble < 0 else 0
-            if self.capacity and not slow:
+            if self.capacity and not (slow and near):
                 # Where reports tell busy cores, they show how far C may grow, and soon after a collapse in which
                 # it was set too low. Harm: a rate that is busy with something else than ops reads as capacity.
                 shown = acked / max(busy, 0.2) if busy else None
