--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -20,6 +20,7 @@
 # The design's values (docs/design.md); those marked * are open to tuning.
 PERIOD = SECOND                # about 1 s, in whole cycles of reports
 HEADROOM = 0.1                 # * part of C kept free
+DRAIN_MOST = 0.6               # * most headroom added to work off what waits
 RHO = 0.2                      # * what a cap leaves above heard demand
 KNEE = 1.3                     # C over the acked rate when trouble shows as longer waits
 TROUBLE_PERIODS = 3
@@ -365,15 +366,18 @@
         joined = self.joined_proxies()
         heard = [sum(p.usage[o.place].sums(self.recent, self.span)[0] for p in joined) / self.seconds()
                  for o in self.op_types]
+        # What waits above the calm has to be worked off beside what comes in, within about an op timeout.
+        timeout = max(o.op_timeout for o in self.op_types)
+        excess = min(max(latency - LATENCY_UP * self.calm_latency, 0) / timeout, DRAIN_MOST)
         self.binding = bool(self.capacity) and sum(heard) > ACT_AT * self.capacity
-        self.caps = self.fill(heard) if self.binding else [None] * len(heard)
+        self.caps = self.fill(heard, excess) if self.binding else [None] * len(heard)
         yield ("note", f"C {self.capacity and round(self.capacity)} heard {[round(h) for h in heard]} acked "
                f"{acked:.0f} lat {latency / 1000:.0f} calm {self.calm_latency / 1000:.0f} err {errors:.2f} "
                f"caps {self.caps}")
 
-    def fill(self, heard):
+    def fill(self, heard, excess):
         """Weighted water filling: what one op type cannot use passes to the others by weight, in turn."""
-        budget = (1 - HEADROOM) * self.capacity
+        budget = (1 - HEADROOM - excess) * self.capacity
         best = max(o.earnings for o in self.op_types)
         weights = [max(d, 0.1) * (o.earnings / best) ** EARNINGS_POWER
                    for o, d in zip(self.op_types, heard, strict=True)]
