--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -1,9 +1,8 @@
 """Every decision of foxstep: which lines the proxies hold, what they let in, when they try again.
 
-How it is called: `Controller(now, site, seed)`, then the inputs (`listed`, `woken`, `probed`, `joined`, `left`,
-`heard`, `used`, ...), which only update what is known; after each batch the host pulls `next_order(now)` until
-it answers None. The contract and the orders stand in `foxstep/interface.py`, plain state in `foxstep/fleet.py`,
-the reasons in `docs/design.md`. `site` is a plain map of what was told at the start; times are microseconds.
+How it is called: `Controller(now, site, seed)`, then the inputs (`listed`, `probed`, `joined`, `heard`, ...),
+which only update what is known; after each batch the host pulls `next_order(now)` until it answers None. The
+contract and the orders stand in `foxstep/interface.py`, plain state in `foxstep/fleet.py`, the reasons in `docs/design.md`. `site` is a plain map of what was told at the start; times are microseconds.
 
 Order of the day: follow the list; once a period judge the servers, step the weights, fill the caps; then
 bring the proxies' tables up to date, rule-bound changes first, within what the channel takes.
@@ -71,7 +70,7 @@
         """The next number in [0, 1) from this instance's seed."""
         return crc32(b"%d:%d" % (self.seed, next(self.counter))) / 2**32
 
-    # -- what comes in: only what is known changes -------------------------------------------------------------
+    # -- what comes in: only what is known changes ---------------------------------------------------
 
     def listed(self, now, how, lines):
         if how == "failed":
@@ -102,13 +101,14 @@
     def begin(self, server, now, started):
         """A process that has just been listed (or again): what its forerunner did says nothing of it."""
         server.started, server.trust, server.trust_since = started, 1.0, now
+        server.strikes = 0
         server.probes_good = server.probes_bad = server.probe_out = 0
 
     def woken(self, now, mark):
         pass
 
     def bucket_time(self, now):
-        """Time for the rings. Reports come all at once, a cycle apart: each round gets a bucket of its own."""
+        """Time for the rings: reports come all at once, and each round gets a bucket of its own."""
         return now + (self.shift or 0)
 
     def report_came(self, now):
@@ -173,7 +173,7 @@
     def applied(self, now, ident, number, took):
         pass
 
-    # -- what is decided ---------------------------------------------------------------------------------------
+    # -- what is decided -------------------------------------------------------------------------------------
 
     def next_order(self, now):
         if self.deciding is None:
@@ -186,7 +186,7 @@
 
     def decide(self):
         yield from self.follow_list()
-        # A period ends with the reports, so that what they tell is acted on at once; without any, by the timer.
+        # A period ends with the reports, so that they are acted on at once; without any, by the timer.
         whole = self.now - self.decided_at >= self.period - self.cycle // 2
         tick = self.now >= self.due or (self.reported and whole)
         if tick:
@@ -243,7 +243,8 @@
     def judge_servers(self):
         """Withdraws a server that fails where the fleet does not, and takes one back by a graded trial.
 
-        Guards against one server down, silent or failing fast. All bad at once is no server's fault: none goes.
+        Guards against one server down, silent or failing fast, and a zone out of reach. Where all are bad at
+        once, none goes. Harm: a server that one op type alone fails on is lost to the others too.
         """
         candidates = self.open_servers()
         parts = []
@@ -253,20 +254,25 @@
             server.aborted_part = aborted / tries if tries >= BAD_TRIES else None
             if server.aborted_part is not None and server.trust > 0:
                 parts.append(server.aborted_part)
-        usual = sorted(parts)[len(parts) // 2] if parts else 0.0
+        usual = sorted(parts)[(len(parts) - 1) // 2] if parts else 0.0
         out = sum(1 for s in candidates if s.trust == 0)
         for server in candidates:
             unreachable = server.probes_bad >= 2
-            failing = server.aborted_part is not None and server.aborted_part > BAD + BAD * usual
+            part = server.aborted_part
+            failing = part is not None and part > BAD + (0 if unreachable else BAD * usual)
             if server.trust > 0:
                 soft = out < SOFT_PART * len(candidates) - 1
-                if (unreachable and (failing or server.aborted_part is None)) or (failing and soft):
+                if (unreachable and (failing or part is None)) or (failing and soft):
                     server.trust, server.trust_since = 0.0, self.now
+                    server.strikes += 1
                     out += 1
                     self.pressing = True
                 elif server.trust < 1 and self.now - server.trust_since >= 2 * self.period:
                     server.trust, server.trust_since = min(1.0, server.trust * 2), self.now
-            elif self.now - server.trust_since >= 2 * self.period and server.probes_good >= 2:
+            elif (server.probes_good >= 2
+                  and self.now - server.trust_since >= self.period * 2 ** server.strikes):
+                # The trial is graded like a cold start, since it may be one that the list does not tell yet;
+                # each strike doubles the wait, against flapping and servers that fail fast yet answer probes.
                 server.trust, server.trust_since = self.site.get("cold_share", 0.2), self.now
 
     # Weights: one vector for all proxies
@@ -309,7 +315,7 @@
     # Capacity and caps
 
     def fleet_state(self):
-        """Median latency and aborted part over servers, rates acked and tried: one failing server moves none."""
+        """Median latency and aborted part over servers (one failing moves none), rates acked and tried."""
         latencies, errors, rate, tried = [], [], 0.0, 0.0
         for server in self.open_servers():
             tries, aborted, acked, latency = server.tries.sums(self.recent, self.span)
@@ -338,7 +344,7 @@
             self.calm_latency = min(self.calm_latency, latency)
         targets = sum(o.target_latency for o in self.op_types) / len(self.op_types)
         slow = latency > LATENCY_UP * self.calm_latency
-        # Trouble while cores idle (or, unreported, use is far from C) has another cause; a lower C would not help.
+        # Trouble while cores idle (or, unreported, use is far from C) has another cause than the pool.
         busy = self.busy()
         near = tried > ACT_AT * (self.capacity or 0) if busy is None else busy > BUSY
         if (slow or errors > ERRORS_UP * CALM_ERRORS) and near:
@@ -348,7 +354,6 @@
                 # Longer waits show the knee, at about 1 / KNEE of capacity; full rooms show capacity itself.
                 found = acked * (1.0 if full else KNEE)
                 if self.capacity is None or found < self.capacity:
-                    yield ("note", f"C {self.capacity} -> {found:.1f} latency {latency:.0f} errors {errors:.2f}")
                     self.capacity = found
                     # What was let in before has to be worked off before waits say anything of the new C.
                     lag = self.site.get("transit_most", 0) + max(o.target_latency for o in self.op_types)
@@ -356,8 +361,8 @@
         else:
             self.trouble = max(self.trouble + 1, 0) if self.trouble < 0 else 0
             if self.capacity and not (slow and near):
-                # Where reports tell busy cores, they show how far C may grow, and soon after a collapse in which
-                # it was set too low. Harm: a rate that is busy with something else than ops reads as capacity.
+                # Where reports tell busy cores, they show how far C may grow, and how fast after a collapse
+                # that set it too low. Harm: cores busy with other things than ops read as capacity.
                 shown = acked / max(busy, 0.2) if busy else None
                 faster = self.binding and shown and shown > self.capacity
                 if shown is None or self.capacity < KNEE * shown:
--- a/foxstep/fleet.py
+++ b/foxstep/fleet.py
@@ -58,6 +58,8 @@
         self.weight = None             # its part in the shared table, learnt; None: not yet placed
         self.trust = 1.0               # 1: trusted; 0: withdrawn; between: on trial
         self.trust_since = 0
+        self.strikes = 0               # how often it was withdrawn since it started
+        self.aborted_part = None       # of its recent tries; None: too few
         self.probes_good = self.probes_bad = 0
         self.probe_out = 0             # when the probe under way was sent; 0: none is
         self.tries = None              # Ring: tries, aborted, acked, their total latency
--- a/foxstep/interface.py
+++ b/foxstep/interface.py
@@ -1,9 +1,9 @@
 """The contract between the decision module and its host.
 
-The host makes one `Controller(now, site, seed)` for each instance and calls it with what comes in. Inputs only
-update what is known. After each batch the host calls `next_order(now)` until it answers None, and carries out the
-orders as they come; what one batch orders for a proxy becomes one message. Times are whole microseconds on the
-host's clock, ids are whatever the host uses at the door.
+The host makes one `Controller(now, site, seed)` for each instance and calls it with what comes in. Inputs
+only update what is known. After each batch the host calls `next_order(now)` until it answers None, and
+carries out the orders as they come; what one batch orders for a proxy becomes one message. Times are whole
+microseconds on the host's clock, ids are whatever the host uses at the door.
 
 Orders are plain tuples, the verb first:
 
@@ -23,9 +23,10 @@
 from typing import Any, Protocol
 
 Order = tuple[Any, ...]
-# A line of the list: server id, zone, kind, cell, state ("open", "draining", "gone"), weight, start time (0: long ago)
+# A line of the list: id, zone, kind, cell, state ("open", "draining", "gone"), weight, start (0: long ago)
 Listed = tuple[str, str, str, int, str, float, int]
-Load = dict[str, float]  # a load report by our names: busy, waiting, holding, service, acked_rate, aborted_rate
+# A load report by our names: busy, waiting, holding, service, acked_rate, aborted_rate
+Load = dict[str, float]
 
 
 class Decider(Protocol):
--- a/foxstep/simhost/__main__.py
+++ b/foxstep/simhost/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m foxstep.simhost`: the decisions on the simulator's wire, from standard input to standard output."""
+"""`python -m foxstep.simhost`: the decisions on the simulator's wire, standard input to output."""
 
 import sys
 
