--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -2,10 +2,11 @@
 
 How it is called: `Controller(now, site, seed)`, then the inputs (`listed`, `probed`, `joined`, `heard`, ...),
 which only update what is known; after each batch the host pulls `next_order(now)` until it answers None. The
-contract and the orders stand in `foxstep/interface.py`, plain state in `foxstep/fleet.py`, the reasons in `docs/design.md`. `site` is a plain map of what was told at the start; times are microseconds.
+contract and the orders stand in `foxstep/interface.py`, plain state in `foxstep/fleet.py`, the reasons in
+`docs/design.md`. `site` is a plain map of what was told at the start; times are microseconds.
 
 Order of the day: follow the list; once a period judge the servers, step the weights, fill the caps; then
-bring the proxies' tables up to date, rule-bound changes first, within what the channel takes.
+bring the tables up to date, rule-bound changes first, within what the channel takes.
 """
 
 from itertools import count
