The weight step is the design's 0.1: 0.3 swung the load to and fro

Cause: load reports cover two seconds and are a second late, so a larger step answered loads that its last steps had already mended. The message-limit scenario now counts messages and fails without its guard.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -30,7 +30,7 @@
 ACT_AT = 0.8                   # levels act while use is above this part of C
 LEAST_CAP = 0.05               # of H / op types
 EARNINGS_POWER = 3             # * class weights: demand x (earnings / best earnings) to this power
-STEP = 0.3                     # * the weight step's power, per period
+STEP = 0.1                     # * the weight step's power, per period
 OFF_BY = 0.1                   # * a line is sent when this far off
 # Ours.
 CALM_ERRORS = 0.03             # errors under this part are calm
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -14,6 +14,7 @@
     expect level PROXY TYPE <|> RATE    what it lets in; `expect [no] capped TYPE`: some proxy is
     expect tries PROXY TYPE N           its further tries as ordered
     expect count VERB [ARG] <|> N       orders of this verb since the last such check
+    expect messages PROXY < N           most messages it was written within the settings' window
     expect burst < N                    most lines given to the channel at one time
 """
 
@@ -38,7 +39,7 @@
         self.tables, self.levels, self.bound, self.zones = {}, {}, {}, {}
         self.rates, self.own, self.mets, self.listed = {}, {}, {}, {}
         self.orders, self.wakes, self.probes, self.lines = Counter(), [], [], 0
-        self.next_report = None
+        self.next_report, self.sent = None, {}
 
     def start(self):
         if not self.started:
@@ -73,6 +74,8 @@
             elif verb == "bind":
                 assert args[0] in self.zones, "bound a proxy that has not joined"
                 self.bound[args[0]] = args[1]
+        for table in touched:
+            self.sent.setdefault(table, []).append(self.now)
         self.lines = max(self.lines, sum(touched.values()) + self.site["head"] * len(touched))
 
     def report(self):
@@ -150,6 +153,10 @@
             found = self.orders[key[0] if len(key) == 1 else tuple(key)]
             assert COMPARE[sign](found, int(number)), found
             self.orders.clear()
+        elif what == "messages":
+            sent, window = self.sent[self.bound[int(args[0])]], self.site["messages_window"]
+            most = max(sum(t - window < other <= t for other in sent) for t in sent)
+            assert COMPARE[args[1]](most, int(args[2])), most
         elif what == "burst":
             assert COMPARE[args[0]](self.lines, int(args[1])), self.lines
         else:
