--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -35,7 +35,7 @@
 # Ours.
 CALM_ERRORS = 0.03             # errors under this part are calm
 BUSY = 0.75                    # busy part of the cores from which on trouble is the pool's
-FULL = 0.5                     # mean latency over this part of the mean target: rooms are full
+FULL = 0.35                     # mean latency over this part of the mean target: rooms are full
 BAD = 0.5                      # aborted part at which a server is bad where the fleet is not
 BAD_TRIES = 4
 SOFT_PART = 0.3                # most of the fleet withdrawn on tries alone
