Cold servers enter once their first burst fits, and not while tries fail across the fleet

A cold server now waits until it surely does a quarter of its usual work and gets less, down to nothing, as 30% of all tries fail. Should also cover a restart that the list tells late; could do harm where most of a fleet starts at once.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -41,7 +41,9 @@
 SOFT_PART = 0.3                # most of the fleet withdrawn on tries alone
 PACE = 0.5                     # part of the channel's stated speed that is counted on
 ROOM = 0.4                     # part of the backlog for what can wait; rule-bound changes may use 0.9
-COLD_CAUTION = 0.8             # a cold server gets this part of what it surely can do
+COLD_CAUTION = 0.8             # a cold server gets this part of what it surely can do,
+COLD_ENTRY = 0.25              # nothing below this part of its usual work,
+COLD_FAILING = 0.3             # and nothing where this part of all tries fails
 
 
 class Controller:
@@ -56,6 +58,7 @@
         self.deciding = None
         self.due, self.decided_at, self.reported = now, now - self.period, False
         self.span = max(2, -(-2 * SECOND // self.cycle))  # buckets that make up what counts as recent
+        self.failing = 0.0                       # aborted part of all recent tries
         self.shift = None                        # puts the reports' arrival into the middle of a bucket
         self.pressing = True                     # something cannot wait for the period
         self.asked_at, self.ask_again, self.list_fails = None, now, 0
@@ -317,26 +320,29 @@
 
     def fleet_state(self):
         """Median latency and aborted part over servers (one failing moves none), rates acked and tried."""
-        latencies, errors, rate, tried = [], [], 0.0, 0.0
+        latencies, errors, rate, tried, failed = [], [], 0.0, 0.0, 0.0
         for server in self.open_servers():
             tries, aborted, acked, latency = server.tries.sums(self.recent, self.span)
-            rate += acked
+            rate, failed = rate + acked, failed + aborted
             tried += tries
             if tries >= BAD_TRIES and server.trust > 0:
                 errors.append(aborted / tries)
                 if acked:
                     latencies.append(latency / acked)
+        self.failing = failed / tried if tried else 0.0
         middle = [sorted(values)[len(values) // 2] if values else 0.0 for values in (latencies, errors)]
         return (*middle, rate / self.seconds(), tried / self.seconds())
 
     def busy(self):
-        """Median part of the cores that is busy, over servers that report it; None: none does."""
+        """Median and mean part of the cores that is busy, over servers that report it; None: none does."""
         parts = []
         for server in self.open_servers():
             reports, busy, _ = server.loads.sums(self.recent, self.span)
             if reports and server.trust > 0:
                 parts.append(busy / reports)
-        return sorted(parts)[len(parts) // 2] if parts and "busy" in self.site.get("reports", []) else None
+        if not parts or "busy" not in self.site.get("reports", []):
+            return None, None
+        return sorted(parts)[len(parts) // 2], sum(parts) / len(parts)
 
     def set_caps(self):
         """C from trouble and calm, then the caps by water filling while use is near C."""
@@ -344,16 +350,17 @@
         if latency and errors <= CALM_ERRORS:
             self.calm_latency = min(self.calm_latency, latency)
         targets = sum(o.target_latency for o in self.op_types) / len(self.op_types)
+        full = latency > FULL * targets
         slow = latency > LATENCY_UP * self.calm_latency
         # Trouble while cores idle (or, unreported, use is far from C) has another cause than the pool.
-        busy = self.busy()
+        busy, mean_busy = self.busy()
+        shown = acked / max(mean_busy, 0.2) if busy is not None else None  # what reports say of capacity
         near = tried > ACT_AT * (self.capacity or 0) if busy is None else busy > BUSY
         if (slow or errors > ERRORS_UP * CALM_ERRORS) and near:
-            full = latency > FULL * targets
             self.trouble += 1 if self.trouble < 0 or not full else TROUBLE_PERIODS
             if self.trouble >= TROUBLE_PERIODS:
                 # Longer waits show the knee, at about 1 / KNEE of capacity; full rooms show capacity itself.
-                found = acked * (1.0 if full else KNEE)
+                found = acked if full else min(KNEE * acked, shown or KNEE * acked)
                 if self.capacity is None or found < self.capacity:
                     self.capacity = found
                     # What was let in before has to be worked off before waits say anything of the new C.
@@ -361,10 +368,9 @@
                     self.trouble = -round(lag / self.period)
         else:
             self.trouble = max(self.trouble + 1, 0) if self.trouble < 0 else 0
-            if self.capacity and not (slow and near):
+            if self.capacity and not (slow and near) and not full:
                 # Where reports tell busy cores, they show how far C may grow, and how fast after a collapse
                 # that set it too low. Harm: cores busy with other things than ops read as capacity.
-                shown = acked / max(busy, 0.2) if busy else None
                 faster = self.binding and shown and shown > self.capacity
                 if shown is None or self.capacity < KNEE * shown:
                     self.capacity = max(GROWTH * self.capacity,
@@ -426,9 +432,23 @@
     def lines(self):
         """The weight of every server that may be picked; where none is trusted, none is distrusted."""
         candidates = self.open_servers()
-        lines = {s: s.weight * self.warmth(s) * s.trust for s in candidates if s.trust > 0}
+        lines = {s: s.weight * self.cold_part(s) * s.trust for s in candidates}
+        lines = {s: weight for s, weight in lines.items() if weight > 0}
         return lines or {s: s.weight * self.warmth(s) for s in candidates}
 
+    def cold_part(self, server):
+        """What of its weight a server gets for its warmth, in steps that grow.
+
+        Guards against pushing a cold server over: not before its first burst fits, and less or nothing while
+        tries fail across the fleet, when proxies shun other lines and what is left of a table gets it all.
+        Harm: after a crash of many servers the rest carry the load some seconds longer.
+        """
+        warmth = self.warmth(server)
+        if warmth == 1:
+            return 1.0
+        part = warmth * max(0.0, 1 - self.failing / COLD_FAILING)
+        return part if part >= COLD_ENTRY else 0.0
+
     def room(self, lines, part):
         """Whether the channel takes so many more lines, if it runs at PACE of its stated speed."""
         sent = (self.now - self.waiting_at) / SECOND * self.site.get("lines_per_s", 1000) * PACE
