Rates go by the reports' own windows

Rates now divide by the time that the lines themselves cover, weighted by ops. Should also cover lost and doubled reports and part rounds after joining; could do harm if windows are misreported.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -142,7 +142,7 @@
         proxy = self.proxies.get(ident)
         if proxy is None:
             proxy = self.proxies[ident] = Proxy(ident)
-            proxy.usage = [Ring(self.cycle, 8, 2) for _ in self.op_types]
+            proxy.usage = [Ring(self.cycle, 8, 3) for _ in self.op_types]
             proxy.levels = [None] * len(self.op_types)
         elif self.capacity and not proxy.joined:
             self.capacity *= 1 + self.usage_part(proxy, rate)
@@ -172,7 +172,7 @@
     def used(self, now, ident, op_type, ops, unanswered, window):
         proxy = self.proxies.get(ident)
         if proxy:
-            proxy.usage[self.by_name[op_type].place].add(self.report_came(now), ops, unanswered)
+            proxy.usage[self.by_name[op_type].place].add(self.report_came(now), ops, unanswered, window)
 
     def applied(self, now, ident, number, took):
         pass
@@ -216,8 +216,16 @@
             yield ("watch", True)
 
     def seconds(self):
-        """The stretch that counts as recent."""
-        return self.span * self.cycle / SECOND
+        """The stretch that recent usage tells of: by the reports' own windows, weighted by ops.
+
+        Guards against reports that come late, get lost or are doubled in a later line, and against the part
+        stretch after a restart or a mass return: all of these would read as a rate that drops or jumps.
+        """
+        rows = [ring.sums(self.recent, self.span) for p in self.joined_proxies() for ring in p.usage]
+        ops = sum(row[0] for row in rows)
+        if not ops:
+            return self.span * self.cycle / SECOND
+        return max(sum(row[0] * row[2] for row in rows) / ops, self.cycle / 4) / SECOND
 
     def open_servers(self):
         return [s for s in self.servers.values() if s.state == "open"]
--- a/foxstep/fleet.py
+++ b/foxstep/fleet.py
@@ -76,5 +76,5 @@
         self.joined = self.bound = False
         self.lines = {}                # Server -> weight ordered
         self.levels = []               # per op type: (quota, tries) ordered, None: never set
-        self.usage = []                # per op type a Ring: ops, unanswered
+        self.usage = []                # per op type a Ring: ops, unanswered, time covered
         self.messages = None           # Ring: messages written
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -9,6 +9,7 @@
     met SERVER|* NAME=VALUE ...         from now on tries meet there: aborted=PART latency=MS busy=PART
                                         waiting=N probe=OUTCOME zone=ZONE quiet=1 (it is not heard of)
     wait SECONDS                        time passes; reports come every cycle
+    late                                the next round of reports comes a cycle late, within the one after it
     expect [no] line PROXY SERVER       the proxy holds such a line
     expect weight PROXY SERVER <|> X    the line's weight against the mean of the proxy's other lines
     expect level PROXY TYPE <|> RATE    what it lets in; `expect [no] capped TYPE`: some proxy is
@@ -39,7 +40,7 @@
         self.tables, self.levels, self.bound, self.zones = {}, {}, {}, {}
         self.rates, self.own, self.mets, self.listed = {}, {}, {}, {}
         self.orders, self.wakes, self.probes, self.lines = Counter(), [], [], 0
-        self.next_report, self.sent = None, {}
+        self.next_report, self.sent, self.late, self.owed = None, {}, 0, 0
 
     def start(self):
         if not self.started:
@@ -80,6 +81,11 @@
 
     def report(self):
         cycle = self.site["cycle"]
+        if self.late:
+            self.late -= 1
+            self.owed = cycle
+            return
+        cycle, self.owed = cycle + self.owed, 0
         joined = list(self.zones)
         total = sum(self.rate(p, t["name"]) for p in joined for t in self.site["op_types"]) * cycle / SECOND
         open_now = [s for s, (_, state) in self.listed.items()
@@ -214,6 +220,8 @@
                 pairs = dict(word.split("=") for word in words[1:])
                 stage.mets.setdefault(words[0], {}).update(
                     {k: v if k in ("probe", "zone") else float(v) for k, v in pairs.items()})
+            elif verb == "late":
+                stage.late += 1
             elif verb == "wait":
                 stage.wait(float(words[0]))
             elif verb == "expect":
