--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -68,6 +68,7 @@
         self.binding = False
         self.caps = [None] * len(self.op_types)  # ops a second let in; None: all
         self.waiting, self.waiting_at = 0.0, now  # lines thought to wait in the channel
+        self.pace, self.marked = PACE, 0.0       # part of its stated speed, lines waiting at the last mark
         self.kinds = {}                          # kind -> mean weight learnt
 
     def chance(self):
@@ -175,7 +176,10 @@
             proxy.usage[self.by_name[op_type].place].add(self.report_came(now), ops, unanswered, window)
 
     def applied(self, now, ident, number, took):
-        pass
+        """Guards against a channel slower than stated; a slow way reads as one too, and only delays."""
+        over = (took - self.site.get("transit_most", 0)) / SECOND
+        sent = self.marked / self.site.get("lines_per_s", 1000)
+        self.pace = min(PACE, max(sent / over, PACE / 10)) if over > 0 else PACE
 
     # -- what is decided -------------------------------------------------------------------------------------
 
@@ -458,8 +462,8 @@
         return part if part >= COLD_ENTRY else 0.0
 
     def room(self, lines, part):
-        """Whether the channel takes so many more lines, if it runs at PACE of its stated speed."""
-        sent = (self.now - self.waiting_at) / SECOND * self.site.get("lines_per_s", 1000) * PACE
+        """Whether the channel takes so many more lines, if it runs at `pace` of its stated speed."""
+        sent = (self.now - self.waiting_at) / SECOND * self.site.get("lines_per_s", 1000) * self.pace
         self.waiting, self.waiting_at = max(0.0, self.waiting - sent), self.now
         return self.waiting + lines <= part * self.site.get("backlog", 1000)
 
@@ -513,6 +517,9 @@
             if not proxy.bound:
                 proxy.bound = True
                 yield ("bind", proxy.ident, table, 0)
+        if work and tick:
+            self.marked = self.waiting
+            yield ("mark", next(self.counter) % 65536, False)
 
     def level_changes(self, proxy, joined):
         """Levels that differ enough from those ordered, op types with equal ones in one line."""
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,6 +1,7 @@
 """Plays every scenario of tests/scenarios/*.txt against the module: canned reports in, orders out.
 
-A scenario is a list of lines, `#` starts a comment. Times are seconds, levels ops a second.
+A scenario is a list of statements, one a line or set apart by `;`; `#` starts a comment. Times are
+seconds, levels ops a second.
 
     site NAME=VALUE ...                 the settings differ from the usual ones in this (before anything else)
     list HOW SERVER:ZONE[:STATE[:AGE]]  the list of servers (HOW: whole, changes, remembered, failed)
@@ -10,6 +11,7 @@
                                         waiting=N probe=OUTCOME zone=ZONE quiet=1 (it is not heard of)
     wait SECONDS                        time passes; reports come every cycle
     late                                the next round of reports comes a cycle late, within the one after it
+    applied SECONDS                     a proxy answers the last mark after so long
     expect [no] line PROXY SERVER       the proxy holds such a line
     expect weight PROXY SERVER <|> X    the line's weight against the mean of the proxy's other lines
     expect level PROXY TYPE <|> RATE    what it lets in; `expect [no] capped TYPE`: some proxy is
@@ -20,6 +22,7 @@
 """
 
 import operator
+import re
 from collections import Counter
 from pathlib import Path
 
@@ -190,8 +193,8 @@
 
 
 def play(stage, text):
-    for number, line in enumerate(text.splitlines(), 1):
-        verb, *words = line.partition("#")[0].split() or [""]
+    for line in re.split(r"#.*\n|[;\n]", text):
+        verb, *words = line.split() or [""]
         try:
             if verb == "site":
                 for name, _, value in (word.partition("=") for word in words):
@@ -220,6 +223,8 @@
                 pairs = dict(word.split("=") for word in words[1:])
                 stage.mets.setdefault(words[0], {}).update(
                     {k: v if k in ("probe", "zone") else float(v) for k, v in pairs.items()})
+            elif verb == "applied":
+                stage.controller.applied(stage.now, 1, 0, round(float(words[0]) * SECOND))
             elif verb == "late":
                 stage.late += 1
             elif verb == "wait":
@@ -229,7 +234,7 @@
             elif verb:
                 raise ValueError(f"unknown verb: {verb}")
         except AssertionError as error:
-            raise AssertionError(f"line {number}: {line.strip()} ({error})") from error
+            raise AssertionError(f"{line.strip()} ({error})") from error
 
 
 @pytest.mark.parametrize("name", sorted(path.stem for path in HERE.glob("*.txt")))
