A cold server is never the only line; no tables where there are slices

Found by reading: with every warm server withdrawn, lines() left a cold one with all the load; and a site with slices would have been sent HAND_TABLE.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -35,7 +35,7 @@
 # Ours.
 CALM_ERRORS = 0.03             # errors under this part are calm
 BUSY = 0.75                    # busy part of the cores from which on trouble is the pool's
-FULL = 0.35                     # mean latency over this part of the mean target: rooms are full
+FULL = 0.35                    # mean latency over this part of the mean target: rooms are full
 BAD = 0.5                      # aborted part at which a server is bad where the fleet is not
 BAD_TRIES = 4
 SOFT_PART = 0.3                # most of the fleet withdrawn on tries alone
@@ -61,7 +61,7 @@
         self.failing = 0.0                       # aborted part of all recent tries
         self.shift = None                        # puts the reports' arrival into the middle of a bucket
         self.pressing = True                     # something cannot wait for the period
-        self.asked_at, self.ask_again, self.list_fails = None, now, 0
+        self.ask_again, self.list_fails = now, 0
         self.capacity = None                     # C, in ops a second of this controller's own proxies
         self.trouble = 0                         # periods of it in a row
         self.calm_latency = min((o.target_latency for o in self.op_types), default=SECOND) / 3
@@ -106,8 +106,7 @@
     def begin(self, server, now, started):
         """A process that has just been listed (or again): what its forerunner did says nothing of it."""
         server.started, server.trust, server.trust_since = started, 1.0, now
-        server.strikes = 0
-        server.probes_good = server.probes_bad = server.probe_out = 0
+        server.strikes = server.probes_good = server.probes_bad = server.probe_out = 0
 
     def woken(self, now, mark):
         pass
@@ -208,7 +207,7 @@
                 self.step_weights()
                 yield from self.set_caps()
             yield from self.probe()
-        if tick or self.pressing:
+        if (tick or self.pressing) and not self.site.get("slices"):  # slices are in no deployment yet
             self.pressing = False
             self.place_servers()
             yield from self.update_proxies(tick)
@@ -335,8 +334,7 @@
         latencies, errors, rate, tried, failed = [], [], 0.0, 0.0, 0.0
         for server in self.open_servers():
             tries, aborted, acked, latency = server.tries.sums(self.recent, self.span)
-            rate, failed = rate + acked, failed + aborted
-            tried += tries
+            rate, failed, tried = rate + acked, failed + aborted, tried + tries
             if tries >= BAD_TRIES and server.trust > 0:
                 errors.append(aborted / tries)
                 if acked:
@@ -442,11 +440,13 @@
     # Tables and the channel
 
     def lines(self):
-        """The weight of every server that may be picked; where none is trusted, none is distrusted."""
+        """The weight of every server that may be picked; without a warm one among them, none is distrusted:
+        all of a proxy's load on a cold server would push it over."""
         candidates = self.open_servers()
         lines = {s: s.weight * self.cold_part(s) * s.trust for s in candidates}
         lines = {s: weight for s, weight in lines.items() if weight > 0}
-        return lines or {s: s.weight * self.warmth(s) for s in candidates}
+        warm = any(self.warmth(s) == 1 for s in lines)
+        return lines if warm else {s: s.weight * self.warmth(s) for s in candidates}
 
     def cold_part(self, server):
         """What of its weight a server gets for its warmth, in steps that grow.
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -81,6 +81,12 @@
     assert reply == ["DIE\tcontrollerId=3\tmsg=RuntimeError: first second"]
 
 
+def test_no_table_is_handed_out_where_there_are_slices(host):
+    (_, joined) = replies(host, (1.0, [START + "\tfamilyInfo.shards=8", *LIST]),
+                          (2.0, ["JOINED\tcontrollerId=3\tproxy=4\tarea=x\tw=6.5\ton=1"]))
+    assert not any(line.startswith(("HAND_TABLE", "WEIGH", "ADMIT")) for line in joined)
+
+
 def test_lists_are_resolved_in_order(host):
     (reply, joined) = replies(
         host, (1.0, [START, *LIST, "POOL\ttable=0\trows=0",
