Sums taken once: usage totals, stretch and mean target; table updates tidied

Read again as a whole: recent usage was summed for every proxy and for caps apart, the reports' stretch for every server, the mean target in two places, servers placed twice a period.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -51,6 +51,7 @@
         self.now, self.site, self.seed = now, site, seed
         self.counter = count()
         self.op_types = [OpType(place, facts) for place, facts in enumerate(site["op_types"])]
+        self.target = sum(o.target_latency for o in self.op_types) / max(len(self.op_types), 1)  # the mean
         self.by_name = {op_type.name: op_type for op_type in self.op_types}
         self.cycle = max(site.get("cycle", PERIOD), 1)
         self.period = max(1, round(PERIOD / self.cycle)) * self.cycle
@@ -196,12 +197,13 @@
         # A period ends with the reports, so that they are acted on at once; without any, by the timer.
         whole = self.now - self.decided_at >= self.period - self.cycle // 2
         tick = self.now >= self.due or (self.reported and whole)
+        if tick or self.pressing:
+            self.place_servers()
         if tick:
             self.recent = self.bucket_time(self.now)
             self.due, self.decided_at = self.now + self.period * 3 // 2, self.now
             yield ("wake", self.due, "period")
             self.judge_servers()
-            self.place_servers()
             if self.reported:
                 self.reported = False
                 self.step_weights()
@@ -209,7 +211,6 @@
             yield from self.probe()
         if (tick or self.pressing) and not self.site.get("slices"):  # slices are in no deployment yet
             self.pressing = False
-            self.place_servers()
             yield from self.update_proxies(tick)
 
     def follow_list(self):
@@ -230,6 +231,11 @@
             return self.span * self.cycle / SECOND
         return max(sum(row[0] * row[2] for row in rows) / ops, self.cycle / 4) / SECOND
 
+    def usage_totals(self):
+        """Recent ops of each op type, over all joined proxies."""
+        return [sum(p.usage[o.place].sums(self.recent, self.span)[0] for p in self.joined_proxies())
+                for o in self.op_types]
+
     def open_servers(self):
         return [s for s in self.servers.values() if s.state == "open"]
 
@@ -298,21 +304,21 @@
             if server.weight is None and server.state == "open":
                 server.weight = self.kinds.get(server.kind, 1.0) * max(server.listed_weight, 0.01)
 
-    def load(self, server):
+    def load(self, server, seconds):
         """Busy cores, and the wait of what is held as a part of the mean target latency; None: unknown."""
         reports, busy, held = server.loads.sums(self.recent, self.span)
         if not reports:
             return None
         _, _, acked, latency = server.tries.sums(self.recent, self.span)
         part = len(self.joined_proxies()) / max(self.site.get("proxies", 1), 1)
-        rate = acked / self.seconds() / max(part, 0.05)
-        target = sum(o.target_latency for o in self.op_types) / len(self.op_types) / SECOND
+        rate = acked / seconds / max(part, 0.05)
         wait = held / reports / max(rate, 0.5)
-        return max(busy / reports + wait / target, 0.05)
+        return max(busy / reports + wait * SECOND / self.target, 0.05)
 
     def step_weights(self):
         """The design's small step, weight x (mean load / load)^STEP, on servers that are warm and trusted."""
-        loads = [(s, self.load(s)) for s in self.open_servers() if s.trust == 1 and self.warmth(s) == 1]
+        trusted, seconds = [s for s in self.open_servers() if s.trust == 1], self.seconds()
+        loads = [(s, self.load(s, seconds)) for s in trusted if self.warmth(s) == 1]
         loads = [(s, load) for s, load in loads if load is not None]
         if len(loads) < 2:
             return
@@ -359,8 +365,7 @@
         latency, errors, acked, tried = self.fleet_state()
         if latency and errors <= CALM_ERRORS:
             self.calm_latency = min(self.calm_latency, latency)
-        targets = sum(o.target_latency for o in self.op_types) / len(self.op_types)
-        full = latency > FULL * targets
+        full = latency > FULL * self.target
         slow = latency > LATENCY_UP * self.calm_latency
         # Trouble while cores idle (or, unreported, use is far from C) has another cause than the pool.
         busy, mean_busy = self.busy()
@@ -385,9 +390,7 @@
                 if shown is None or self.capacity < KNEE * shown:
                     self.capacity = max(GROWTH * self.capacity,
                                         min(FAST_GROWTH * self.capacity, shown) if faster else 0.0)
-        joined = self.joined_proxies()
-        heard = [sum(p.usage[o.place].sums(self.recent, self.span)[0] for p in joined) / self.seconds()
-                 for o in self.op_types]
+        heard = [ops / self.seconds() for ops in self.usage_totals()]
         # What waits above the calm has to be worked off beside what comes in, within about an op timeout.
         timeout = max(o.op_timeout for o in self.op_types)
         excess = min(max(latency - LATENCY_UP * self.calm_latency, 0) / timeout, DRAIN_MOST)
@@ -419,7 +422,7 @@
                 left.remove(k)
         return caps
 
-    def levels_for(self, proxy, joined):
+    def levels_for(self, proxy, totals):
         """Quota and further tries for each op type at one proxy."""
         kind, usual = self.site.get("level", "none"), self.site.get("usual_tries", 0)
         tries = 0 if self.binding else usual
@@ -428,10 +431,10 @@
             if cap is None or kind == "none":
                 quota = OPEN if kind == "rate" else 1.0
             else:
-                total = sum(p.usage[op_type.place].sums(self.recent, self.span)[0] for p in joined)
+                total = totals[op_type.place]
                 own = proxy.usage[op_type.place].sums(self.recent, self.span)[0]
                 if kind == "rate":
-                    quota = cap * (own + 0.5) / (total + 0.5 * len(joined))
+                    quota = cap * (own + 0.5) / (total + 0.5 * len(self.joined_proxies()))
                 else:
                     quota = min(1.0, cap / max(total / self.seconds(), 0.1))
             levels.append((quota, tries))
@@ -475,14 +478,11 @@
         """Brings each proxy's own table up to the one shared vector; changes only, one message a proxy."""
         want, joined = self.lines(), self.joined_proxies()
         head = self.site.get("head", 0)
+        totals = self.usage_totals() if self.binding else []
         work = []
         for proxy in joined:
-            table = proxy.ident
-            changed, urgent = [], not proxy.bound
-            for server in proxy.lines:
-                if server not in want:
-                    changed.append((server, 0))
-                    urgent = True
+            changed = [(server, 0) for server in proxy.lines if server not in want]
+            urgent = bool(changed) or not proxy.bound
             stale = [s for s, w in want.items() if s not in proxy.lines
                      or abs(proxy.lines[s] / w - 1) > OFF_BY]
             if any(s in proxy.lines and self.warmth(s) < 1 and proxy.lines[s] > 1.5 * want[s] for s in stale):
@@ -490,10 +490,10 @@
             if stale:
                 changed += [(s, w) for s, w in want.items() if s not in proxy.lines
                             or abs(proxy.lines[s] / w - 1) > OFF_BY / 2]
-            levels = self.level_changes(proxy, joined) if tick or urgent else []
+            levels = self.level_changes(proxy, totals) if tick or urgent else []
             if changed or levels or not proxy.bound:
-                work.append((not urgent, len(work), proxy, table, changed, levels))
-        for calm, _, proxy, table, changed, levels in sorted(work, key=lambda item: item[:2]):
+                work.append((not urgent, len(work), proxy, changed, levels))
+        for calm, _, proxy, changed, levels in sorted(work, key=lambda item: item[:2]):
             if calm and not tick:
                 continue
             cost = head + len(changed) + len(levels)
@@ -505,28 +505,28 @@
             self.waiting += cost
             proxy.messages.add(self.now, 1)
             for server, weight in changed:
-                yield ("weigh", table, server.ident, round(weight, 4))
+                yield ("weigh", proxy.ident, server.ident, round(weight, 4))
                 if weight:
                     proxy.lines[server] = weight
                 else:
                     del proxy.lines[server]
             for mask, quota, tries, places in levels:
-                yield ("admit", table, mask, round(quota, 3), tries)
+                yield ("admit", proxy.ident, mask, round(quota, 3), tries)
                 for place in places:
                     proxy.levels[place] = (quota, tries)
             if not proxy.bound:
                 proxy.bound = True
-                yield ("bind", proxy.ident, table, 0)
+                yield ("bind", proxy.ident, proxy.ident, 0)  # a proxy's own table bears its number
         if work and tick:
             self.marked = self.waiting
             yield ("mark", next(self.counter) % 65536, False)
 
-    def level_changes(self, proxy, joined):
+    def level_changes(self, proxy, totals):
         """Levels that differ enough from those ordered, op types with equal ones in one line."""
         if not self.binding and all(level is None for level in proxy.levels):
             return []
         grouped = {}
-        for place, (quota, tries) in enumerate(self.levels_for(proxy, joined)):
+        for place, (quota, tries) in enumerate(self.levels_for(proxy, totals)):
             ordered = proxy.levels[place]
             if ordered is None or ordered[1] != tries or abs(ordered[0] - quota) > OFF_BY * ordered[0]:
                 grouped.setdefault((quota, tries), []).append(place)
--- a/foxstep/simhost/host.py
+++ b/foxstep/simhost/host.py
@@ -67,12 +67,9 @@
         if handle is None:
             raise ValueError("no such message")
         ident = int(fields.pop("controllerId"))
-        if handle is Host.start:
-            call = handle(self, ident, fields)
-        elif ident not in self.instances:
+        if handle is not Host.start and ident not in self.instances:
             raise ValueError(f"controller {ident} has not been started")
-        else:
-            call = handle(self, ident, fields)
+        call = handle(self, ident, fields)
         if call is None:
             return
         touched[ident] = None
