--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -9,7 +9,10 @@
 bring the tables up to date, rule-bound changes first, within what the channel takes.
 """
 
+from heapq import nsmallest
 from itertools import count
+from math import ceil
+from statistics import fmean, median_high, median_low
 from zlib import crc32
 
 from foxstep.fleet import OpType, Proxy, Ring, Server
@@ -20,7 +23,6 @@
 # The design's values (docs/design.md); those marked * are open to tuning.
 PERIOD = SECOND                # about 1 s, in whole cycles of reports
 HEADROOM = 0.1                 # * part of C kept free
-DRAIN_MOST = 0.6               # * most headroom added to work off what waits
 RHO = 0.2                      # * what a cap leaves above heard demand
 KNEE = 1.3                     # C over the acked rate when trouble shows as longer waits
 TROUBLE_PERIODS = 3
@@ -41,6 +43,11 @@
 SOFT_PART = 0.3                # most of the fleet withdrawn on tries alone
 PACE = 0.5                     # part of the channel's stated speed that is counted on
 ROOM = 0.4                     # part of the backlog for what can wait; rule-bound changes may use 0.9
+TABLES = 0.5                   # part of the backlog that all joined proxies' tables together may fill
+KEPT = 0.7                     # a line is picked about so many times while an idle connection lasts, or more
+CROSSING = 1.25                # a server of another zone counts as so much more crowded
+CROWDED = 1.5                  # a line goes to a server this much less crowded
+MANY = 16                      # ops or tries from which on a short stretch says enough
 COLD_CAUTION = 0.8             # a cold server gets this part of what it surely can do,
 COLD_ENTRY = 0.25              # nothing below this part of its usual work,
 COLD_FAILING = 0.3             # and nothing where this part of all tries fails
@@ -51,26 +58,26 @@
         self.now, self.site, self.seed = now, site, seed
         self.counter = count()
         self.op_types = [OpType(place, facts) for place, facts in enumerate(site["op_types"])]
-        self.target = sum(o.target_latency for o in self.op_types) / max(len(self.op_types), 1)  # the mean
+        self.target = fmean([o.target_latency for o in self.op_types] or [SECOND])
         self.by_name = {op_type.name: op_type for op_type in self.op_types}
         self.cycle = max(site.get("cycle", PERIOD), 1)
         self.period = max(1, round(PERIOD / self.cycle)) * self.cycle
+        self.span = max(2, -(-2 * SECOND // self.cycle))  # buckets that make up what counts as recent
         self.servers, self.proxies = {}, {}      # by id, for the door only
+        self.want, self.urgent = {}, {}          # the shared table; the proxies that cannot wait, in order
         self.deciding = None
+        self.pressing = True                     # something cannot wait for the period
         self.due, self.decided_at, self.reported = now, now - self.period, False
-        self.span = max(2, -(-2 * SECOND // self.cycle))  # buckets that make up what counts as recent
-        self.failing = 0.0                       # aborted part of all recent tries
         self.shift = None                        # puts the reports' arrival into the middle of a bucket
-        self.pressing = True                     # something cannot wait for the period
         self.ask_again, self.list_fails = now, 0
         self.capacity = None                     # C, in ops a second of this controller's own proxies
-        self.trouble = 0                         # periods of it in a row
-        self.calm_latency = min((o.target_latency for o in self.op_types), default=SECOND) / 3
+        self.usual = 0.0                         # what they usually get, as told
+        self.trouble = 0                         # periods of it in a row; below 0: of waiting after a cut
+        self.calm_latency = self.target / 3
         self.binding = False
         self.caps = [None] * len(self.op_types)  # ops a second let in; None: all
         self.waiting, self.waiting_at = 0.0, now  # lines thought to wait in the channel
         self.pace, self.marked = PACE, 0.0       # part of its stated speed, lines waiting at the last mark
-        self.kinds = {}                          # kind -> mean weight learnt
 
     def chance(self):
         """The next number in [0, 1) from this instance's seed."""
@@ -84,9 +91,8 @@
             wait = min(self.site.get("ask_within", 8 * SECOND) / 2, SECOND / 2 * 2 ** min(self.list_fails, 6))
             self.ask_again = now + int(wait * (0.5 + self.chance()))
             return
-        if how != "remembered":
-            self.list_fails = 0
-        named = {}
+        self.list_fails *= how == "remembered"
+        named = {line[0] for line in lines}
         for ident, zone, kind, cell, state, weight, started in lines:
             server = self.servers.get(ident)
             if server is None:
@@ -95,17 +101,20 @@
                 server.loads = Ring(self.cycle, 8, 3)
             if state == "open" and (server.state != "open" or started > server.started):
                 self.begin(server, now, started)
+            elif state != server.state:
+                self.urgent.update(server.holders)
             server.zone, server.kind, server.cell = zone, kind, cell
-            server.state, server.listed_weight = state, weight
-            named[ident] = True
+            server.state, server.size = state, max(weight, 0.01)
         if how != "changes":
             for ident, server in self.servers.items():
-                if ident not in named:
+                if ident not in named and server.state != "gone":
                     server.state = "gone"
+                    self.urgent.update(server.holders)
         self.pressing = True
 
     def begin(self, server, now, started):
         """A process that has just been listed (or again): what its forerunner did says nothing of it."""
+        self.urgent.update(server.holders)
         server.started, server.trust, server.trust_since = started, 1.0, now
         server.strikes = server.probes_good = server.probes_bad = server.probe_out = 0
 
@@ -117,18 +126,15 @@
         return now + (self.shift or 0)
 
     def report_came(self, now):
-        if self.shift is None:
-            self.shift = self.cycle // 2 - now % self.cycle
         self.reported = True
+        self.shift = self.cycle // 2 - now % self.cycle if self.shift is None else self.shift
         return self.bucket_time(now)
 
     def probed(self, now, ident, outcome, took, load):
         server = self.servers[ident]
-        server.probe_out = 0
-        if outcome in ("acked", "rejected"):
-            server.probes_good, server.probes_bad = server.probes_good + 1, 0
-        else:
-            server.probes_good, server.probes_bad = 0, server.probes_bad + 1
+        server.probe_out, good = 0, outcome in ("acked", "rejected")
+        server.probes_good = server.probes_good + 1 if good else 0
+        server.probes_bad = 0 if good else server.probes_bad + 1
         self.note_load(server, now, load)
 
     def note_load(self, server, now, load):
@@ -144,25 +150,17 @@
         if proxy is None:
             proxy = self.proxies[ident] = Proxy(ident)
             proxy.usage = [Ring(self.cycle, 8, 3) for _ in self.op_types]
-            proxy.levels = [None] * len(self.op_types)
-        elif self.capacity and not proxy.joined:
-            self.capacity *= 1 + self.usage_part(proxy, rate)
+            proxy.levels, proxy.ops = [None] * len(self.op_types), [0.0] * len(self.op_types)
         proxy.messages = Ring(max(self.site.get("messages_window", 0) // 10, SECOND), 11, 1)
         proxy.zone, proxy.rate, proxy.joined, proxy.bound = zone, rate, True, False
-        self.pressing = True
+        proxy.total, proxy.since = rate, now
+        self.urgent[proxy], self.pressing = None, True
 
     def left(self, now, ident):
         proxy = self.proxies.get(ident)
-        if proxy and proxy.joined:
-            if self.capacity:
-                self.capacity /= 1 + self.usage_part(proxy, proxy.rate)
+        if proxy:
             proxy.joined = False
 
-    def usage_part(self, proxy, rate):
-        """What a proxy adds to the others' listed rate."""
-        others = sum(p.rate for p in self.proxies.values() if p.joined and p is not proxy)
-        return rate / others if others else 0.0
-
     def heard(self, now, ident, zone, tries, aborted, latency, window, load):
         server = self.servers.get(ident)
         if server:
@@ -185,24 +183,22 @@
 
     def next_order(self, now):
         if self.deciding is None:
-            self.now = now
-            self.deciding = self.decide()
+            self.now, self.deciding = now, self.decide()
         order = next(self.deciding, None)
-        if order is None:
-            self.deciding = None
+        self.deciding = self.deciding if order else None
         return order
 
     def decide(self):
-        yield from self.follow_list()
+        if self.site.get("list_asked") and self.ask_again is not None and self.now >= self.ask_again:
+            self.ask_again = None  # one subscription, asked for again after a failure, spread and backed off
+            yield ("watch", True)
         # A period ends with the reports, so that they are acted on at once; without any, by the timer.
-        whole = self.now - self.decided_at >= self.period - self.cycle // 2
-        tick = self.now >= self.due or (self.reported and whole)
-        if tick or self.pressing:
-            self.place_servers()
+        due = self.decided_at + self.period - self.cycle // 2
+        tick = self.now >= (due if self.reported else self.due)
         if tick:
-            self.recent = self.bucket_time(self.now)
             self.due, self.decided_at = self.now + self.period * 3 // 2, self.now
             yield ("wake", self.due, "period")
+            self.take_stock()
             self.judge_servers()
             if self.reported:
                 self.reported = False
@@ -211,30 +207,51 @@
             yield from self.probe()
         if (tick or self.pressing) and not self.site.get("slices"):  # slices are in no deployment yet
             self.pressing = False
+            self.want, self.crew = self.shared_table(), self.joined_proxies()
+            self.crew_total = sum(p.total for p in self.crew)
             yield from self.update_proxies(tick)
 
-    def follow_list(self):
-        """One subscription, asked for again after a failure, spread and backed off."""
-        if self.site.get("list_asked") and self.ask_again is not None and self.now >= self.ask_again:
-            self.ask_again = None
-            yield ("watch", True)
+    def take_stock(self):
+        """Sums up what was heard, once a period: what is recent, and longer where that is a handful.
 
-    def seconds(self):
-        """The stretch that recent usage tells of: by the reports' own windows, weighted by ops.
-
-        Guards against reports that come late, get lost or are doubled in a later line, and against the part
-        stretch after a restart or a mass return: all of these would read as a rate that drops or jumps.
+        `seconds` is the stretch that recent usage tells of, by the reports' own windows, weighted by ops.
+        Guards against reports that come late or thin, get lost or are doubled in a later line, and the part
+        stretch after a restart or a mass return: all would read as a rate that drops or jumps.
         """
-        rows = [ring.sums(self.recent, self.span) for p in self.joined_proxies() for ring in p.usage]
-        ops = sum(row[0] for row in rows)
-        if not ops:
-            return self.span * self.cycle / SECOND
-        return max(sum(row[0] * row[2] for row in rows) / ops, self.cycle / 4) / SECOND
-
-    def usage_totals(self):
-        """Recent ops of each op type, over all joined proxies."""
-        return [sum(p.usage[o.place].sums(self.recent, self.span)[0] for p in self.joined_proxies())
-                for o in self.op_types]
+        self.recent, ring_time = self.bucket_time(self.now), 8 * self.cycle
+        told, covered, recent = 0.0, 0.0, [0.0] * len(self.op_types)
+        for server in self.open_servers():
+            server.tried = server.tries.sums(self.recent, self.span)
+            server.loaded = server.loads.sums(self.recent, self.span)
+            server.cover = 0.0
+        for proxy in self.joined_proxies():
+            ever = max(min(self.now - proxy.since, ring_time), self.cycle)
+            for place, ring in enumerate(proxy.usage):
+                ops, _, window = ring.sums(self.recent, self.span)
+                long = ring.sums(self.recent)[0] / ever
+                recent[place], told, covered = recent[place] + ops, told + long, covered + long * window
+                proxy.ops[place] = (long if ops < MANY else ops / max(window, self.cycle)) * SECOND
+            # What it usually gets stands in for what has not been heard yet.
+            proxy.total = max(sum(proxy.ops), proxy.rate * (1 - ever / ring_time))
+            ops = proxy.total / max(sum(proxy.lines.values()), 0.01)
+            for server, weight in proxy.lines.items():
+                server.cover += ops * weight
+        usual = sum(p.rate for p in self.joined_proxies()) or self.usual
+        if self.capacity and self.usual:
+            self.capacity *= usual / self.usual  # C goes with the proxies that join and leave
+        self.usual = usual
+        self.seconds = max(covered / told if told else self.span * self.cycle, self.cycle / 4) / SECOND
+        self.demand = [ops / self.seconds for ops in recent]
+        # The median over servers is moved neither by one failing server nor by a few.
+        trusted = [s for s in self.open_servers() if s.trust > 0]
+        known = [s.tried for s in trusted if s.tried[0] >= BAD_TRIES]
+        self.errors = median_high([aborted / tries for tries, aborted, _, _ in known] or [0.0])
+        self.latency = median_high([latency / acked for _, _, acked, latency in known if acked] or [0.0])
+        tries, aborted, acked = (sum(s.tried[k] for s in self.open_servers()) for k in range(3))
+        self.tried, self.acked = tries / self.seconds, acked / self.seconds
+        self.failing = aborted / max(tries, 1)
+        reporting = [s.loaded for s in trusted if s.loaded[0] and "busy" in self.site.get("reports", [])]
+        self.busy = [busy / reports for reports, busy, _ in reporting]
 
     def open_servers(self):
         return [s for s in self.servers.values() if s.state == "open"]
@@ -268,18 +285,17 @@
         once, none goes. Harm: a server that one op type alone fails on is lost to the others too.
         """
         candidates = self.open_servers()
-        parts = []
         for server in candidates:
-            tries, aborted, _, _ = server.tries.sums(
-                self.recent, self.span, self.bucket_time(server.trust_since))
+            since = self.bucket_time(server.trust_since)
+            tries, aborted, _, _ = server.tries.sums(self.recent, self.span, since)
+            if 0 < tries < BAD_TRIES:
+                tries, aborted, _, _ = server.tries.sums(self.recent, 0, since)
             server.aborted_part = aborted / tries if tries >= BAD_TRIES else None
-            if server.aborted_part is not None and server.trust > 0:
-                parts.append(server.aborted_part)
-        usual = sorted(parts)[(len(parts) - 1) // 2] if parts else 0.0
+        parts = [s.aborted_part for s in candidates if s.aborted_part is not None and s.trust > 0]
+        usual = median_low(parts or [0.0])
         out = sum(1 for s in candidates if s.trust == 0)
         for server in candidates:
-            unreachable = server.probes_bad >= 2
-            part = server.aborted_part
+            unreachable, part = server.probes_bad >= 2, server.aborted_part
             failing = part is not None and part > BAD + (0 if unreachable else BAD * usual)
             if server.trust > 0:
                 soft = out < SOFT_PART * len(candidates) - 1
@@ -287,7 +303,6 @@
                     server.trust, server.trust_since = 0.0, self.now
                     server.strikes += 1
                     out += 1
-                    self.pressing = True
                 elif server.trust < 1 and self.now - server.trust_since >= 2 * self.period:
                     server.trust, server.trust_since = min(1.0, server.trust * 2), self.now
             elif (server.probes_good >= 2
@@ -298,84 +313,47 @@
 
     # Weights: one vector for all proxies
 
-    def place_servers(self):
-        """A server not yet placed starts at its kind's learnt weight, by the list's word of its size."""
-        for server in self.servers.values():
-            if server.weight is None and server.state == "open":
-                server.weight = self.kinds.get(server.kind, 1.0) * max(server.listed_weight, 0.01)
-
-    def load(self, server, seconds):
-        """Busy cores, and the wait of what is held as a part of the mean target latency; None: unknown."""
-        reports, busy, held = server.loads.sums(self.recent, self.span)
-        if not reports:
-            return None
-        _, _, acked, latency = server.tries.sums(self.recent, self.span)
-        part = len(self.joined_proxies()) / max(self.site.get("proxies", 1), 1)
-        rate = acked / seconds / max(part, 0.05)
-        wait = held / reports / max(rate, 0.5)
-        return max(busy / reports + wait * SECOND / self.target, 0.05)
-
     def step_weights(self):
-        """The design's small step, weight x (mean load / load)^STEP, on servers that are warm and trusted."""
-        trusted, seconds = [s for s in self.open_servers() if s.trust == 1], self.seconds()
-        loads = [(s, self.load(s, seconds)) for s in trusted if self.warmth(s) == 1]
-        loads = [(s, load) for s, load in loads if load is not None]
+        """The design's small step, weight x (mean load / load)^STEP, on servers that are warm and trusted.
+
+        Load is busy cores, and the wait of what is held as a part of the mean target latency.
+        """
+        trusted = [s for s in self.want if s.trust == 1 and self.warmth(s) == 1]
+        part = len(self.joined_proxies()) / max(self.site.get("proxies", 1), 1)
+        acked = sum(s.tried[2] for s in trusted) / self.seconds / max(part, 0.05)  # by all proxies
+        rate = acked / max(sum(s.weight for s in trusted), 0.1)
+        loads = []
+        for server in trusted:
+            reports, busy, held = server.loaded
+            if reports:
+                wait = held / reports / max(rate * server.weight, 0.5) * SECOND
+                loads.append((server, max(busy / reports + wait / self.target, 0.05)))
         if len(loads) < 2:
             return
-        mean = sum(load for _, load in loads) / len(loads)
+        mean = fmean(load for _, load in loads)
         for server, load in loads:
             server.weight *= min(max((mean / load) ** STEP, 0.8), 1.25)
         scale = len(loads) / sum(s.weight for s, _ in loads)
-        grouped = {}
         for server, _ in loads:
             server.weight = min(max(server.weight * scale, 0.1), 4.0)
-            grouped.setdefault(server.kind, []).append(server.weight / max(server.listed_weight, 0.01))
-        for kind, weights in grouped.items():
-            self.kinds[kind] = sum(weights) / len(weights)
 
     # Capacity and caps
 
-    def fleet_state(self):
-        """Median latency and aborted part over servers (one failing moves none), rates acked and tried."""
-        latencies, errors, rate, tried, failed = [], [], 0.0, 0.0, 0.0
-        for server in self.open_servers():
-            tries, aborted, acked, latency = server.tries.sums(self.recent, self.span)
-            rate, failed, tried = rate + acked, failed + aborted, tried + tries
-            if tries >= BAD_TRIES and server.trust > 0:
-                errors.append(aborted / tries)
-                if acked:
-                    latencies.append(latency / acked)
-        self.failing = failed / tried if tried else 0.0
-        middle = [sorted(values)[len(values) // 2] if values else 0.0 for values in (latencies, errors)]
-        return (*middle, rate / self.seconds(), tried / self.seconds())
-
-    def busy(self):
-        """Median and mean part of the cores that is busy, over servers that report it; None: none does."""
-        parts = []
-        for server in self.open_servers():
-            reports, busy, _ = server.loads.sums(self.recent, self.span)
-            if reports and server.trust > 0:
-                parts.append(busy / reports)
-        if not parts or "busy" not in self.site.get("reports", []):
-            return None, None
-        return sorted(parts)[len(parts) // 2], sum(parts) / len(parts)
-
     def set_caps(self):
         """C from trouble and calm, then the caps by water filling while use is near C."""
-        latency, errors, acked, tried = self.fleet_state()
-        if latency and errors <= CALM_ERRORS:
-            self.calm_latency = min(self.calm_latency, latency)
-        full = latency > FULL * self.target
-        slow = latency > LATENCY_UP * self.calm_latency
+        if self.latency and self.errors <= CALM_ERRORS:
+            self.calm_latency = min(self.calm_latency, self.latency)
+        full = self.latency > FULL * self.target
+        slow = self.latency > LATENCY_UP * self.calm_latency
         # Trouble while cores idle (or, unreported, use is far from C) has another cause than the pool.
-        busy, mean_busy = self.busy()
-        shown = acked / max(mean_busy, 0.2) if busy is not None else None  # what reports say of capacity
-        near = tried > ACT_AT * (self.capacity or 0) if busy is None else busy > BUSY
-        if (slow or errors > ERRORS_UP * CALM_ERRORS) and near:
+        shown = self.acked / max(fmean(self.busy), 0.2) if self.busy else None  # what reports say of capacity
+        near = median_high(self.busy) > BUSY if self.busy else self.tried > ACT_AT * (self.capacity or 0)
+        if (slow or self.errors > ERRORS_UP * CALM_ERRORS) and near:
             self.trouble += 1 if self.trouble < 0 or not full else TROUBLE_PERIODS
             if self.trouble >= TROUBLE_PERIODS:
                 # Longer waits show the knee, at about 1 / KNEE of capacity; full rooms show capacity itself.
-                found = acked if full else min(KNEE * acked, shown or KNEE * acked)
+                knee = KNEE * self.acked
+                found = self.acked if full else min(knee, shown or knee)
                 if self.capacity is None or found < self.capacity:
                     self.capacity = found
                     # What was let in before has to be worked off before waits say anything of the new C.
@@ -383,78 +361,54 @@
                     self.trouble = -round(lag / self.period)
         else:
             self.trouble = max(self.trouble + 1, 0) if self.trouble < 0 else 0
-            if self.capacity and not (slow and near) and not full:
+            idle = shown is None or (self.capacity or 0) < KNEE * shown
+            if self.capacity and idle and not (slow and near) and not full:
                 # Where reports tell busy cores, they show how far C may grow, and how fast after a collapse
                 # that set it too low. Harm: cores busy with other things than ops read as capacity.
-                faster = self.binding and shown and shown > self.capacity
-                if shown is None or self.capacity < KNEE * shown:
-                    self.capacity = max(GROWTH * self.capacity,
-                                        min(FAST_GROWTH * self.capacity, shown) if faster else 0.0)
-        heard = [ops / self.seconds() for ops in self.usage_totals()]
-        # What waits above the calm has to be worked off beside what comes in, within about an op timeout.
-        timeout = max(o.op_timeout for o in self.op_types)
-        excess = min(max(latency - LATENCY_UP * self.calm_latency, 0) / timeout, DRAIN_MOST)
-        self.binding = bool(self.capacity) and sum(heard) > ACT_AT * self.capacity
-        self.caps = self.fill(heard, excess) if self.binding else [None] * len(heard)
-        yield ("note", f"C {self.capacity and round(self.capacity)} heard {[round(h) for h in heard]} acked "
-               f"{acked:.0f} lat {latency / 1000:.0f} calm {self.calm_latency / 1000:.0f} err {errors:.2f} "
-               f"caps {self.caps}")
-
-    def fill(self, heard, excess):
+                faster = min(FAST_GROWTH * self.capacity, shown) if self.binding and shown else 0.0
+                self.capacity = max(GROWTH * self.capacity, faster)
+        self.binding = bool(self.capacity) and sum(self.demand) > ACT_AT * self.capacity
+        self.caps = self.fill(self.demand) if self.binding else [None] * len(self.demand)
+        yield ("note", f"C {self.capacity and round(self.capacity)} heard {[round(h) for h in self.demand]} "
+               f"acked {self.acked:.0f} lat {self.latency / 1000:.0f} calm {self.calm_latency / 1000:.0f} "
+               f"err {self.errors:.2f} caps {[cap and round(cap) for cap in self.caps]}")
+
+    def fill(self, heard):
         """Weighted water filling: what one op type cannot use passes to the others by weight, in turn."""
-        budget = (1 - HEADROOM - excess) * self.capacity
+        budget = (1 - HEADROOM) * self.capacity
         best = max(o.earnings for o in self.op_types)
         weights = [max(d, 0.1) * (o.earnings / best) ** EARNINGS_POWER
                    for o, d in zip(self.op_types, heard, strict=True)]
-        least = LEAST_CAP * budget / len(heard)
-        caps, left = [0.0] * len(heard), list(range(len(heard)))
+        least, left = LEAST_CAP * budget / len(heard), list(range(len(heard)))
         while left:
-            total = sum(weights[k] for k in left)
-            level = budget / total
+            level = budget / sum(weights[k] for k in left)
             sated = [k for k in left if heard[k] * (1 + RHO) <= level * weights[k]]
             if not sated:
-                for k in left:
-                    caps[k] = max(level * weights[k], least)
                 break
-            for k in sated:
-                caps[k] = None
-                budget = max(budget - heard[k] * (1 + RHO), 0.0)
-                left.remove(k)
-        return caps
-
-    def levels_for(self, proxy, totals):
-        """Quota and further tries for each op type at one proxy."""
-        kind, usual = self.site.get("level", "none"), self.site.get("usual_tries", 0)
-        tries = 0 if self.binding else usual
-        levels = []
-        for op_type, cap in zip(self.op_types, self.caps, strict=True):
-            if cap is None or kind == "none":
-                quota = OPEN if kind == "rate" else 1.0
-            else:
-                total = totals[op_type.place]
-                own = proxy.usage[op_type.place].sums(self.recent, self.span)[0]
-                if kind == "rate":
-                    quota = cap * (own + 0.5) / (total + 0.5 * len(self.joined_proxies()))
-                else:
-                    quota = min(1.0, cap / max(total / self.seconds(), 0.1))
-            levels.append((quota, tries))
-        return levels
+            budget = max(budget - sum(heard[k] for k in sated) * (1 + RHO), 0.0)
+            left = [k for k in left if k not in sated]
+        return [max(level * weights[k], least) if k in left else None for k in range(len(heard))]
 
     # Tables and the channel
 
-    def lines(self):
-        """The weight of every server that may be picked; without a warm one among them, none is distrusted:
-        all of a proxy's load on a cold server would push it over."""
+    def shared_table(self):
+        """The weight of every server that may be picked; a new one starts at its kind's learnt weight, by the
+        list's word of its size. Without a warm one among them, none is distrusted: all of a proxy's load on a
+        cold server would push it over."""
         candidates = self.open_servers()
-        lines = {s: s.weight * self.cold_part(s) * s.trust for s in candidates}
-        lines = {s: weight for s, weight in lines.items() if weight > 0}
-        warm = any(self.warmth(s) == 1 for s in lines)
-        return lines if warm else {s: s.weight * self.warmth(s) for s in candidates}
+        for server in candidates:
+            if server.weight is None:
+                like = [s for s in self.servers.values() if s.weight and s.kind == server.kind]
+                server.weight = fmean([s.weight / s.size for s in like] or [1.0]) * server.size
+        table = {s: s.weight * self.cold_part(s) * s.trust for s in candidates}
+        table = {s: weight for s, weight in table.items() if weight > 0}
+        warm = any(self.warmth(s) == 1 for s in table)
+        return table if warm else {s: s.weight * self.warmth(s) for s in candidates}
 
     def cold_part(self, server):
         """What of its weight a server gets for its warmth, in steps that grow.
 
-        Guards against pushing a cold server over: not before its first burst fits, and less or nothing while
+        Guards against pushing a cold server over: none before its first burst fits, and less or none while
         tries fail across the fleet, when proxies shun other lines and what is left of a table gets it all.
         Harm: after a crash of many servers the rest carry the load some seconds longer.
         """
@@ -464,52 +418,91 @@
         part = warmth * max(0.0, 1 - self.failing / COLD_FAILING)
         return part if part >= COLD_ENTRY else 0.0
 
-    def room(self, lines, part):
-        """Whether the channel takes so many more lines, if it runs at `pace` of its stated speed."""
+    def room(self, proxy, lines, calm):
+        """Whether the limits on messages and waiting lines take so many more, the channel being at `pace`."""
         sent = (self.now - self.waiting_at) / SECOND * self.site.get("lines_per_s", 1000) * self.pace
         self.waiting, self.waiting_at = max(0.0, self.waiting - sent), self.now
-        return self.waiting + lines <= part * self.site.get("backlog", 1000)
-
-    def may_write(self, proxy, part):
         most = self.site.get("messages_most", 0)
-        return not most or proxy.messages.sums(self.now)[0] + 1 <= part * most
+        return (self.waiting + lines <= (ROOM if calm else 0.9) * self.site.get("backlog", 1000) and (
+            not most or proxy.messages.sums(self.now)[0] + 1 <= (0.6 if calm else 0.95) * most))
+
+    def table_size(self, proxy):
+        """How many lines of the shared table a proxy holds: all on a small fleet.
+
+        On a large one a share by its part of the ops, so that all tables fit the channel, and no more than
+        are picked before idle connections close, but at least what the site's own tables hold. Harm: a proxy
+        that turns hot loads its few servers until its table has grown.
+        """
+        least, head = self.site.get("standing", 6), self.site.get("head", 0)
+        spare = TABLES * self.site.get("backlog", 1000) - len(self.crew) * (head + least)
+        part = proxy.total / max(self.crew_total, 0.1)
+        kept = KEPT * proxy.total * self.site.get("keepalive", 15 * SECOND) / SECOND
+        return min(len(self.want), ceil(least + max(min(kept - least, spare * part), 0)))
+
+    def line_changes(self, proxy, tick):
+        """What brings a proxy's part of the shared table up to date: 0 removes a line. Its servers are those
+        that the tables bring the fewest ops against their weight, near ones before those of other zones."""
+        def crowded(server):
+            return (server.cover + 0.01) / want[server] * (1 if server.zone == proxy.zone else CROSSING)
+
+        want, size = self.want, self.table_size(proxy)
+        changed = {s: 0 for s in proxy.lines if s not in want}
+        held, others = [s for s in proxy.lines if s in want], [s for s in want if s not in proxy.lines]
+        off = [s for s in held if abs(proxy.lines[s] / want[s] - 1) > OFF_BY]
+        if off and (tick or any(proxy.lines[s] > 1.5 * want[s] and self.warmth(s) < 1 for s in off)):
+            changed.update((s, want[s]) for s in held if abs(proxy.lines[s] / want[s] - 1) > OFF_BY / 2)
+        grow = len(held) < size / CROWDED or changed or not proxy.bound
+        added = nsmallest(size - len(held), others, crowded) if grow else []
+        if tick and len(held) > size * CROWDED:
+            changed.update((s, 0) for s in sorted(held, key=crowded)[size:])
+        elif tick and held and others and not added:
+            worst, best = max(held, key=crowded), min(others, key=crowded)
+            if crowded(worst) > CROWDED * crowded(best):
+                changed[worst], added = 0, [best]
+        changed.update((s, want[s]) for s in added)
+        ops = proxy.total / max(sum(proxy.lines.values()) + sum(want[s] for s in added), 0.01)
+        for server, weight in changed.items():
+            server.cover += ops * (weight - proxy.lines.get(server, 0.0))
+        return changed
 
     def update_proxies(self, tick):
-        """Brings each proxy's own table up to the one shared vector; changes only, one message a proxy."""
-        want, joined = self.lines(), self.joined_proxies()
-        head = self.site.get("head", 0)
-        totals = self.usage_totals() if self.binding else []
-        work = []
-        for proxy in joined:
-            changed = [(server, 0) for server in proxy.lines if server not in want]
-            urgent = bool(changed) or not proxy.bound
-            stale = [s for s, w in want.items() if s not in proxy.lines
-                     or abs(proxy.lines[s] / w - 1) > OFF_BY]
-            if any(s in proxy.lines and self.warmth(s) < 1 and proxy.lines[s] > 1.5 * want[s] for s in stale):
-                urgent = True
-            if stale:
-                changed += [(s, w) for s, w in want.items() if s not in proxy.lines
-                            or abs(proxy.lines[s] / w - 1) > OFF_BY / 2]
-            levels = self.level_changes(proxy, totals) if tick or urgent else []
+        """Brings the proxies' tables up to the shared one; changes only, one message a proxy.
+
+        Rule-bound changes and joiners go at once; the rest once a period, as the channel has room, what moves
+        most ops first, counted again for each period that it has waited.
+        """
+        head, work = self.site.get("head", 0), []
+        if tick:
+            gone = [s for s in self.servers.values() if s not in self.want]
+            self.urgent.update((p, None) for s in gone for p in s.holders)
+        for proxy in self.crew if tick else [p for p in self.urgent if p.joined]:
+            changed, levels = self.line_changes(proxy, tick), self.level_changes(proxy)
+            calm = proxy not in self.urgent
             if changed or levels or not proxy.bound:
-                work.append((not urgent, len(work), proxy, changed, levels))
-        for calm, _, proxy, changed, levels in sorted(work, key=lambda item: item[:2]):
-            if calm and not tick:
-                continue
+                moved = sum(abs(weight - proxy.lines.get(s, 0)) for s, weight in changed.items())
+                moved = moved / max(sum(proxy.lines.values()), 0.01) + len(levels)
+                worth = proxy.total * moved * (1 + proxy.waited)
+                work.append((calm, -worth, len(work), proxy, changed, levels))
+            else:
+                self.urgent.pop(proxy, None)
+        for calm, _, _, proxy, changed, levels in sorted(work, key=lambda item: item[:3]):
             cost = head + len(changed) + len(levels)
             if not proxy.bound:
-                cost = head + 2 + len(want) + 2 * len(self.op_types)
-            if not self.room(cost, ROOM if calm else 0.9) or not self.may_write(proxy, 0.6 if calm else 0.95):
+                cost = head + 2 + len(proxy.lines) + len(changed) + 2 * len(self.op_types)
+            if not self.room(proxy, cost, calm):
+                proxy.waited += 1
                 self.pressing = self.pressing or not calm
                 continue
-            self.waiting += cost
+            self.waiting, proxy.waited = self.waiting + cost, 0
+            self.urgent.pop(proxy, None)
             proxy.messages.add(self.now, 1)
-            for server, weight in changed:
+            for server, weight in changed.items():
                 yield ("weigh", proxy.ident, server.ident, round(weight, 4))
                 if weight:
                     proxy.lines[server] = weight
+                    server.holders[proxy] = None
                 else:
-                    del proxy.lines[server]
+                    del proxy.lines[server], server.holders[proxy]
             for mask, quota, tries, places in levels:
                 yield ("admit", proxy.ident, mask, round(quota, 3), tries)
                 for place in places:
@@ -521,12 +514,18 @@
             self.marked = self.waiting
             yield ("mark", next(self.counter) % 65536, False)
 
-    def level_changes(self, proxy, totals):
-        """Levels that differ enough from those ordered, op types with equal ones in one line."""
+    def level_changes(self, proxy):
+        """Quota and further tries that differ enough from those ordered, equal ones in one line."""
         if not self.binding and all(level is None for level in proxy.levels):
             return []
-        grouped = {}
-        for place, (quota, tries) in enumerate(self.levels_for(proxy, totals)):
+        kind, tries = self.site.get("level", "none"), 0 if self.binding else self.site.get("usual_tries", 0)
+        even, grouped = 0.5 / self.span, {}
+        for place, (own, total, cap) in enumerate(zip(proxy.ops, self.demand, self.caps, strict=True)):
+            quota = OPEN if kind == "rate" else 1.0
+            if cap is not None and kind == "rate":
+                quota = cap * (own + even) / (total + even * len(self.crew))
+            elif cap is not None and kind == "share":
+                quota = min(1.0, cap / max(total, 0.1))
             ordered = proxy.levels[place]
             if ordered is None or ordered[1] != tries or abs(ordered[0] - quota) > OFF_BY * ordered[0]:
                 grouped.setdefault((quota, tries), []).append(place)
--- a/foxstep/simhost/names.py
+++ b/foxstep/simhost/names.py
@@ -36,6 +36,7 @@
     "discovery": ("list_asked", lambda text: text == "subscribe"),
     "weights": ("listed_weights", str),
     "step": ("step", micros),
+    "allowed.keepalive": ("keepalive", micros),
     "allowed.probes": ("probes", yes),
     "allowed.peers": ("peers", yes),
     "report.fields": ("reports", lambda text: [LOADS.get(word, word) for word in words(text)]),
