--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -487,6 +487,11 @@
                 self.urgent.pop(proxy, None)
         for calm, _, _, proxy, changed, levels in sorted(work, key=lambda item: item[:3]):
             cost = head + len(changed) + len(levels)
+            if not calm and proxy.bound and not self.room(proxy, cost, True):
+                # The channel is short: no more than the rules demand, the rest when it can wait its turn.
+                less = {s: weight for s, weight in changed.items() if weight < proxy.lines.get(s, 0)}
+                if any(less.get(s, 1) for s in proxy.lines):
+                    changed, levels, cost = less, [], head + len(less)
             if not proxy.bound:
                 cost = head + 2 + len(proxy.lines) + len(changed) + 2 * len(self.op_types)
             if not self.room(proxy, cost, calm):
