--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -38,6 +38,7 @@
 CALM_ERRORS = 0.03             # errors under this part are calm
 BUSY = 0.75                    # busy part of the cores from which on trouble is the pool's
 FULL = 0.35                    # mean latency over this part of the mean target: rooms are full
+FIT = 2                        # a reported load is believed within this factor of what the waits show
 BAD = 0.5                      # aborted part at which a server is bad where the fleet is not
 BAD_TRIES = 4
 SOFT_PART = 0.3                # most of the fleet withdrawn on tries alone
@@ -71,7 +72,6 @@
         self.shift = None                        # puts the reports' arrival into the middle of a bucket
         self.ask_again, self.list_fails = now, 0
         self.capacity = None                     # C, in ops a second of this controller's own proxies
-        self.usual = 0.0                         # what they usually get, as told
         self.trouble = 0                         # periods of it in a row; below 0: of waiting after a cut
         self.calm_latency = self.target / 3
         self.binding = False
@@ -79,17 +79,14 @@
         self.waiting, self.waiting_at = 0.0, now  # lines thought to wait in the channel
         self.pace, self.marked = PACE, 0.0       # part of its stated speed, lines waiting at the last mark
 
-    def chance(self):
-        """The next number in [0, 1) from this instance's seed."""
-        return crc32(b"%d:%d" % (self.seed, next(self.counter))) / 2**32
-
     # -- what comes in: only what is known changes ---------------------------------------------------
 
     def listed(self, now, how, lines):
         if how == "failed":
             self.list_fails += 1
+            chance = crc32(b"%d:%d" % (self.seed, next(self.counter))) / 2**32  # from the instance's seed
             wait = min(self.site.get("ask_within", 8 * SECOND) / 2, SECOND / 2 * 2 ** min(self.list_fails, 6))
-            self.ask_again = now + int(wait * (0.5 + self.chance()))
+            self.ask_again = now + int(wait * (0.5 + chance))
             return
         self.list_fails *= how == "remembered"
         named = {line[0] for line in lines}
@@ -236,10 +233,6 @@
             ops = proxy.total / max(sum(proxy.lines.values()), 0.01)
             for server, weight in proxy.lines.items():
                 server.cover += ops * weight
-        usual = sum(p.rate for p in self.joined_proxies()) or self.usual
-        if self.capacity and self.usual:
-            self.capacity *= usual / self.usual  # C goes with the proxies that join and leave
-        self.usual = usual
         self.seconds = max(covered / told if told else self.span * self.cycle, self.cycle / 4) / SECOND
         self.demand = [ops / self.seconds for ops in recent]
         # The median over servers is moved neither by one failing server nor by a few.
@@ -250,8 +243,13 @@
         tries, aborted, acked = (sum(s.tried[k] for s in self.open_servers()) for k in range(3))
         self.tried, self.acked = tries / self.seconds, acked / self.seconds
         self.failing = aborted / max(tries, 1)
-        reporting = [s.loaded for s in trusted if s.loaded[0] and "busy" in self.site.get("reports", [])]
-        self.busy = [busy / reports for reports, busy, _ in reporting]
+        for server in self.open_servers():
+            _, _, acked, latency = server.tried
+            server.slower = latency / acked / self.latency if acked >= BAD_TRIES and self.latency else 1.0
+        reporting = trusted if "busy" in self.site.get("reports", []) else []
+        busy = {s: s.loaded[1] / s.loaded[0] for s in reporting if s.loaded[0]}
+        mean = fmean(busy.values() or [0.0])
+        self.busy = [part for s, part in busy.items() if part * FIT >= mean * s.slower]
 
     def open_servers(self):
         return [s for s in self.servers.values() if s.state == "open"]
@@ -305,8 +303,7 @@
                     out += 1
                 elif server.trust < 1 and self.now - server.trust_since >= 2 * self.period:
                     server.trust, server.trust_since = min(1.0, server.trust * 2), self.now
-            elif (server.probes_good >= 2
-                  and self.now - server.trust_since >= self.period * 2 ** server.strikes):
+            elif server.probes_good > 1 and self.now - server.trust_since >= self.period * 2**server.strikes:
                 # The trial is graded like a cold start, since it may be one that the list does not tell yet;
                 # each strike doubles the wait, against flapping and servers that fail fast yet answer probes.
                 server.trust, server.trust_since = self.site.get("cold_share", 0.2), self.now
@@ -332,6 +329,9 @@
             return
         mean = fmean(load for _, load in loads)
         for server, load in loads:
+            # Guards against reports that show less or more than there is, or are stuck. Harm: a server far
+            # slower or faster than its kind's others is stepped by its waits rather than by its cores.
+            load = min(max(load, mean * server.slower / FIT), mean * server.slower * FIT)
             server.weight *= min(max((mean / load) ** STEP, 0.8), 1.25)
         scale = len(loads) / sum(s.weight for s, _ in loads)
         for server, _ in loads:
@@ -369,7 +369,7 @@
                 self.capacity = max(GROWTH * self.capacity, faster)
         self.binding = bool(self.capacity) and sum(self.demand) > ACT_AT * self.capacity
         self.caps = self.fill(self.demand) if self.binding else [None] * len(self.demand)
-        yield ("note", f"C {self.capacity and round(self.capacity)} heard {[round(h) for h in self.demand]} "
+        yield ("note", f"C {self.capacity or 0:.0f} heard {[round(h) for h in self.demand]} "
                f"acked {self.acked:.0f} lat {self.latency / 1000:.0f} calm {self.calm_latency / 1000:.0f} "
                f"err {self.errors:.2f} caps {[cap and round(cap) for cap in self.caps]}")
 
@@ -392,32 +392,25 @@
     # Tables and the channel
 
     def shared_table(self):
-        """The weight of every server that may be picked; a new one starts at its kind's learnt weight, by the
-        list's word of its size. Without a warm one among them, none is distrusted: all of a proxy's load on a
-        cold server would push it over."""
-        candidates = self.open_servers()
+        """The weight of every server that may be picked; at first its kind's, by the list's word of its size.
+
+        A cold one gets what it surely can do: none before its first burst fits, and less or none while tries
+        fail across the fleet, when proxies shun other lines and what is left of a table gets all. Without a
+        warm one none is distrusted: all of a proxy's load would push a cold one over. Harm: after a crash of
+        many servers the rest carry the load some seconds longer.
+        """
+        candidates, table = self.open_servers(), {}
         for server in candidates:
             if server.weight is None:
                 like = [s for s in self.servers.values() if s.weight and s.kind == server.kind]
                 server.weight = fmean([s.weight / s.size for s in like] or [1.0]) * server.size
-        table = {s: s.weight * self.cold_part(s) * s.trust for s in candidates}
-        table = {s: weight for s, weight in table.items() if weight > 0}
+            warmth = self.warmth(server)
+            part = warmth if warmth == 1 else warmth * (1 - self.failing / COLD_FAILING)
+            if part >= COLD_ENTRY and server.trust:
+                table[server] = server.weight * part * server.trust
         warm = any(self.warmth(s) == 1 for s in table)
         return table if warm else {s: s.weight * self.warmth(s) for s in candidates}
 
-    def cold_part(self, server):
-        """What of its weight a server gets for its warmth, in steps that grow.
-
-        Guards against pushing a cold server over: none before its first burst fits, and less or none while
-        tries fail across the fleet, when proxies shun other lines and what is left of a table gets it all.
-        Harm: after a crash of many servers the rest carry the load some seconds longer.
-        """
-        warmth = self.warmth(server)
-        if warmth == 1:
-            return 1.0
-        part = warmth * max(0.0, 1 - self.failing / COLD_FAILING)
-        return part if part >= COLD_ENTRY else 0.0
-
     def room(self, proxy, lines, calm):
         """Whether the limits on messages and waiting lines take so many more, the channel being at `pace`."""
         sent = (self.now - self.waiting_at) / SECOND * self.site.get("lines_per_s", 1000) * self.pace
--- a/foxstep/fleet.py
+++ b/foxstep/fleet.py
@@ -65,6 +65,7 @@
         self.tries = None              # Ring: tries, aborted, acked, their total latency
         self.loads = None              # Ring: reports, busy, holding
         self.tried, self.loaded = [0.0] * 4, [0.0] * 3  # recent sums of these two
+        self.slower = 1.0              # the wait of its tries against the fleet's
         self.holders = {}              # the proxies that hold a line of it, as a set in order
         self.cover = 0.0               # ops a second that the ordered tables bring it
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -13,6 +13,7 @@
     late                                the next round of reports comes a cycle late, within the one after it
     applied SECONDS                     a proxy answers the last mark after so long
     expect [no] line PROXY SERVER       the proxy holds such a line
+    expect size PROXY <|> N             the lines it holds
     expect weight PROXY SERVER <|> X    the line's weight against the mean of the proxy's other lines
     expect level PROXY TYPE <|> RATE    what it lets in; `expect [no] capped TYPE`: some proxy is
     expect tries PROXY TYPE N           its further tries as ordered
@@ -147,6 +148,9 @@
             table = dict(self.tables[self.bound[int(args[0])]])
             own = table.pop(args[1])
             assert COMPARE[args[2]](own * len(table) / sum(table.values()), float(args[3]))
+        elif what == "size":
+            held = self.tables.get(self.bound.get(int(args[0])), {})
+            assert COMPARE[args[1]](len(held), int(args[2])), held
         elif what == "level":
             level = self.levels.get((self.bound[int(args[0])], args[1]), (float("inf"),))[0]
             assert COMPARE[args[2]](level, float(args[3])), level
@@ -183,7 +187,8 @@
             "fall_multiple": 2.5, "fall": 2 * SECOND, "level": "rate", "backlog": 2000.0, "bare": 2 * SECOND,
             "head": 4.0, "transit_most": 500_000, "transit": 200_000, "lines_per_s": 2000.0,
             "messages_most": 0, "messages_window": 10 * SECOND, "cycle": SECOND, "proxies": 3,
-            "usual_tries": 1, "try_aims": 1.0, "reports": ["busy", "waiting"],
+            "usual_tries": 1, "standing": 6,
+            "keepalive": 15 * SECOND, "try_aims": 1.0, "reports": ["busy", "waiting"],
             "reports_by": "answers", "price_cross_zone": 0.0}
 
 
