Loaded servers are not bad; kinds start at a measured weight; a load's fit goes by the median

A server that fails tries while its cores are reported busy keeps its lines; one out of reach, failing fast or silent shows idle cores or failing probes and still goes. Harm: a server that is busy and fails of its own fault stays, with less weight. Kinds start after three periods at acked rate over busy cores, measured once: the step alone takes most of a minute.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -5,8 +5,8 @@
 contract and the orders stand in `foxstep/interface.py`, plain state in `foxstep/fleet.py`, the reasons in
 `docs/design.md`. `site` is a plain map of what was told at the start; times are microseconds.
 
-Order of the day: follow the list; once a period judge the servers, step the weights, fill the caps; then
-bring the tables up to date, rule-bound changes first, within what the channel takes.
+Order of the day: once a period judge the servers, step the weights, fill the caps; then bring the tables up
+to date, rule-bound changes first, within what the channel takes.
 """
 
 from heapq import nsmallest
@@ -56,8 +56,7 @@
 
 class Controller:
     def __init__(self, now, site, seed):
-        self.now, self.site, self.seed = now, site, seed
-        self.counter = count()
+        self.now, self.site, self.seed, self.counter = now, site, seed, count()
         self.op_types = [OpType(place, facts) for place, facts in enumerate(site["op_types"])]
         self.target = fmean([o.target_latency for o in self.op_types] or [SECOND])
         self.by_name = {op_type.name: op_type for op_type in self.op_types}
@@ -66,8 +65,8 @@
         self.span = max(2, -(-2 * SECOND // self.cycle))  # buckets that make up what counts as recent
         self.servers, self.proxies = {}, {}      # by id, for the door only
         self.want, self.urgent = {}, {}          # the shared table; the proxies that cannot wait, in order
-        self.deciding = None
-        self.pressing = True                     # something cannot wait for the period
+        self.deciding, self.pressing = None, True  # the orders under way; something cannot wait
+        self.place_at = now + 3 * self.period
         self.due, self.decided_at, self.reported = now, now - self.period, False
         self.shift = None                        # puts the reports' arrival into the middle of a bucket
         self.ask_again, self.list_fails = now, 0
@@ -115,8 +114,7 @@
         server.started, server.trust, server.trust_since = started, 1.0, now
         server.strikes = server.probes_good = server.probes_bad = server.probe_out = 0
 
-    def woken(self, now, mark):
-        pass
+    def woken(self, now, mark): ...
 
     def bucket_time(self, now):
         """Time for the rings: reports come all at once, and each round gets a bucket of its own."""
@@ -139,14 +137,12 @@
             held = load.get("waiting", load.get("holding", 0.0))
             server.loads.add(self.bucket_time(now), 1, load.get("busy", 0.0), held)
 
-    def told(self, now, peer, payload):
-        pass
+    def told(self, now, peer, payload): ...
 
     def joined(self, now, ident, zone, rate, fresh):
         proxy = self.proxies.get(ident)
         if proxy is None:
-            proxy = self.proxies[ident] = Proxy(ident)
-            proxy.usage = [Ring(self.cycle, 8, 3) for _ in self.op_types]
+            proxy = self.proxies[ident] = Proxy(ident, [Ring(self.cycle, 8, 3) for _ in self.op_types])
             proxy.levels, proxy.ops = [None] * len(self.op_types), [0.0] * len(self.op_types)
         proxy.messages = Ring(max(self.site.get("messages_window", 0) // 10, SECOND), 11, 1)
         proxy.zone, proxy.rate, proxy.joined, proxy.bound = zone, rate, True, False
@@ -211,10 +207,8 @@
     def take_stock(self):
         """Sums up what was heard, once a period: what is recent, and longer where that is a handful.
 
-        `seconds` is the stretch that recent usage tells of, by the reports' own windows, weighted by ops.
-        Guards against reports that come late or thin, get lost or are doubled in a later line, and the part
-        stretch after a restart or a mass return: all would read as a rate that drops or jumps.
-        """
+        `seconds` is the stretch that recent usage tells of, by the reports' own windows. Guards against reports
+        late, thin or doubled in a later line, and the part stretch after a restart or a mass return."""
         self.recent, ring_time = self.bucket_time(self.now), 8 * self.cycle
         told, covered, recent = 0.0, 0.0, [0.0] * len(self.op_types)
         for server in self.open_servers():
@@ -280,8 +274,7 @@
         """Withdraws a server that fails where the fleet does not, and takes one back by a graded trial.
 
         Guards against one server down, silent or failing fast, and a zone out of reach. Where all are bad at
-        once, none goes. Harm: a server that one op type alone fails on is lost to the others too.
-        """
+        once, none goes. Harm: a server that one op type alone fails on is lost to the others too."""
         candidates = self.open_servers()
         for server in candidates:
             since = self.bucket_time(server.trust_since)
@@ -294,7 +287,8 @@
         out = sum(1 for s in candidates if s.trust == 0)
         for server in candidates:
             unreachable, part = server.probes_bad >= 2, server.aborted_part
-            failing = part is not None and part > BAD + (0 if unreachable else BAD * usual)
+            working = server.loaded[1] > BUSY * server.loaded[0] > 0 and not unreachable
+            failing = part is not None and part > BAD + (0 if unreachable else BAD * usual) and not working
             if server.trust > 0:
                 soft = out < SOFT_PART * len(candidates) - 1
                 if (unreachable and (failing or part is None)) or (failing and soft):
@@ -313,8 +307,7 @@
     def step_weights(self):
         """The design's small step, weight x (mean load / load)^STEP, on servers that are warm and trusted.
 
-        Load is busy cores, and the wait of what is held as a part of the mean target latency.
-        """
+        Load is busy cores, and the wait of what is held as a part of the mean target latency."""
         trusted = [s for s in self.want if s.trust == 1 and self.warmth(s) == 1]
         part = len(self.joined_proxies()) / max(self.site.get("proxies", 1), 1)
         acked = sum(s.tried[2] for s in trusted) / self.seconds / max(part, 0.05)  # by all proxies
@@ -327,11 +320,21 @@
                 loads.append((server, max(busy / reports + wait / self.target, 0.05)))
         if len(loads) < 2:
             return
+        if sum(self.busy) and self.now >= self.place_at:
+            # Kinds start at what a busy core of theirs does: the step alone would take the best of a minute.
+            self.place_at = float("inf")
+            per_core = self.acked * self.seconds / sum(self.busy)
+            for kind in dict.fromkeys(s.kind for s, _ in loads):
+                alike = [s for s, _ in loads if s.kind == kind]
+                cores = sum(s.loaded[1] / s.loaded[0] for s in alike)
+                for server in alike:
+                    server.weight *= sum(s.tried[2] for s in alike) / max(cores * per_core, 0.1)
+        # Guards against reports that show less or more than there is, or are stuck. Harm: a server far slower
+        # or faster than its kind's others is stepped by its waits rather than by its cores.
+        fit = median_high(load for _, load in loads) / FIT
+        loads = [(s, min(max(load, fit * s.slower), fit * s.slower * FIT**2)) for s, load in loads]
         mean = fmean(load for _, load in loads)
         for server, load in loads:
-            # Guards against reports that show less or more than there is, or are stuck. Harm: a server far
-            # slower or faster than its kind's others is stepped by its waits rather than by its cores.
-            load = min(max(load, mean * server.slower / FIT), mean * server.slower * FIT)
             server.weight *= min(max((mean / load) ** STEP, 0.8), 1.25)
         scale = len(loads) / sum(s.weight for s, _ in loads)
         for server, _ in loads:
@@ -397,8 +400,7 @@
         A cold one gets what it surely can do: none before its first burst fits, and less or none while tries
         fail across the fleet, when proxies shun other lines and what is left of a table gets all. Without a
         warm one none is distrusted: all of a proxy's load would push a cold one over. Harm: after a crash of
-        many servers the rest carry the load some seconds longer.
-        """
+        many servers the rest carry the load some seconds longer."""
         candidates, table = self.open_servers(), {}
         for server in candidates:
             if server.weight is None:
@@ -420,12 +422,9 @@
             not most or proxy.messages.sums(self.now)[0] + 1 <= (0.6 if calm else 0.95) * most))
 
     def table_size(self, proxy):
-        """How many lines of the shared table a proxy holds: all on a small fleet.
-
-        On a large one a share by its part of the ops, so that all tables fit the channel, and no more than
-        are picked before idle connections close, but at least what the site's own tables hold. Harm: a proxy
-        that turns hot loads its few servers until its table has grown.
-        """
+        """How many lines of the shared table a proxy holds: all on a small fleet. On a large one by its part
+        of the ops, so that all tables fit the channel, none more than are picked before idle connections
+        close, none fewer than the site's own. Harm: a proxy that turns hot loads few servers for a while."""
         least, head = self.site.get("standing", 6), self.site.get("head", 0)
         spare = TABLES * self.site.get("backlog", 1000) - len(self.crew) * (head + least)
         part = proxy.total / max(self.crew_total, 0.1)
@@ -462,8 +461,7 @@
         """Brings the proxies' tables up to the shared one; changes only, one message a proxy.
 
         Rule-bound changes and joiners go at once; the rest once a period, as the channel has room, what moves
-        most ops first, counted again for each period that it has waited.
-        """
+        most ops first, counted again for each period that it has waited."""
         head, work = self.site.get("head", 0), []
         if tick:
             gone = [s for s in self.servers.values() if s not in self.want]
