--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -207,7 +207,7 @@
     def take_stock(self):
         """Sums up what was heard, once a period: what is recent, and longer where that is a handful.
 
-        `seconds` is the stretch that recent usage tells of, by the reports' own windows. Guards against reports
+        `seconds` is the stretch that recent usage tells of, by the reports' windows. Guards against reports
         late, thin or doubled in a later line, and the part stretch after a restart or a mass return."""
         self.recent, ring_time = self.bucket_time(self.now), 8 * self.cycle
         told, covered, recent = 0.0, 0.0, [0.0] * len(self.op_types)
