Fewer lines while tries fail and cores idle; C never under what is acked; headroom 0.05

Tables now narrow by 0.7 a period to a fifth while the median server fails tries and cores idle, and widen by 5% a period; C is raised to the acked rate. Narrowing also covers connections that cost much; harm: failing of another cause puts a proxy's ops on fewer servers. It does nothing where tables hold all servers anyway.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -22,31 +22,29 @@
 
 # The design's values (docs/design.md); those marked * are open to tuning.
 PERIOD = SECOND                # about 1 s, in whole cycles of reports
-HEADROOM = 0.1                 # * part of C kept free
+HEADROOM = 0.05                # * part of C kept free
 RHO = 0.2                      # * what a cap leaves above heard demand
 KNEE = 1.3                     # C over the acked rate when trouble shows as longer waits
 TROUBLE_PERIODS = 3
 ERRORS_UP, LATENCY_UP = 2.0, 1.5
-GROWTH = 1.05
-FAST_GROWTH = 1.25             # ours: most a period, while caps bind and cores idle
+GROWTH, FAST_GROWTH = 1.05, 1.25  # of C a calm period; ours: at most, while caps bind and cores idle
 ACT_AT = 0.8                   # levels act while use is above this part of C
 LEAST_CAP = 0.05               # of H / op types
-EARNINGS_POWER = 3             # * class weights: demand x (earnings / best earnings) to this power
+EARNINGS_POWER = 3             # * class weights: demand x earnings to this power
 STEP = 0.1                     # * the weight step's power, per period
 OFF_BY = 0.1                   # * a line is sent when this far off
 # Ours.
 CALM_ERRORS = 0.03             # errors under this part are calm
-BUSY = 0.75                    # busy part of the cores from which on trouble is the pool's
-FULL = 0.35                    # mean latency over this part of the mean target: rooms are full
+BUSY, FULL = 0.75, 0.35        # busy cores from which trouble is the pool's; wait / mean target: rooms full
 FIT = 2                        # a reported load is believed within this factor of what the waits show
-BAD = 0.5                      # aborted part at which a server is bad where the fleet is not
-BAD_TRIES = 4
+BAD, BAD_TRIES = 0.5, 4        # aborted part, of so many tries, of a server bad where the fleet is not
 SOFT_PART = 0.3                # most of the fleet withdrawn on tries alone
 PACE = 0.5                     # part of the channel's stated speed that is counted on
 ROOM = 0.4                     # part of the backlog for what can wait; rule-bound changes may use 0.9
 TABLES = 0.5                   # part of the backlog that all joined proxies' tables together may fill
 KEPT = 0.7                     # a line is picked about so many times while an idle connection lasts, or more
 CROSSING = 1.25                # a server of another zone counts as so much more crowded
+NARROWER, LEAST_BREADTH = 0.7, 0.2  # a proxy's lines, a period, while tries fail and cores idle
 CROWDED = 1.5                  # a line goes to a server this much less crowded
 MANY = 16                      # ops or tries from which on a short stretch says enough
 COLD_CAUTION = 0.8             # a cold server gets this part of what it surely can do,
@@ -66,6 +64,7 @@
         self.servers, self.proxies = {}, {}      # by id, for the door only
         self.want, self.urgent = {}, {}          # the shared table; the proxies that cannot wait, in order
         self.deciding, self.pressing = None, True  # the orders under way; something cannot wait
+        self.breadth = 1.0                       # part of their usual lines that proxies hold
         self.place_at = now + 3 * self.period
         self.due, self.decided_at, self.reported = now, now - self.period, False
         self.shift = None                        # puts the reports' arrival into the middle of a bucket
@@ -150,9 +149,8 @@
         self.urgent[proxy], self.pressing = None, True
 
     def left(self, now, ident):
-        proxy = self.proxies.get(ident)
-        if proxy:
-            proxy.joined = False
+        if ident in self.proxies:
+            self.proxies[ident].joined = False
 
     def heard(self, now, ident, zone, tries, aborted, latency, window, load):
         server = self.servers.get(ident)
@@ -278,9 +276,9 @@
         candidates = self.open_servers()
         for server in candidates:
             since = self.bucket_time(server.trust_since)
-            tries, aborted, _, _ = server.tries.sums(self.recent, self.span, since)
+            tries, aborted, *_ = server.tries.sums(self.recent, self.span, since)
             if 0 < tries < BAD_TRIES:
-                tries, aborted, _, _ = server.tries.sums(self.recent, 0, since)
+                tries, aborted, *_ = server.tries.sums(self.recent, 0, since)
             server.aborted_part = aborted / tries if tries >= BAD_TRIES else None
         parts = [s.aborted_part for s in candidates if s.aborted_part is not None and s.trust > 0]
         usual = median_low(parts or [0.0])
@@ -346,17 +344,20 @@
         """C from trouble and calm, then the caps by water filling while use is near C."""
         if self.latency and self.errors <= CALM_ERRORS:
             self.calm_latency = min(self.calm_latency, self.latency)
-        full = self.latency > FULL * self.target
-        slow = self.latency > LATENCY_UP * self.calm_latency
-        # Trouble while cores idle (or, unreported, use is far from C) has another cause than the pool.
+        full, slow = self.latency > FULL * self.target, self.latency > LATENCY_UP * self.calm_latency
         shown = self.acked / max(fmean(self.busy), 0.2) if self.busy else None  # what reports say of capacity
+        # Trouble while cores idle (or, unreported, use is far from C) has another cause than the pool.
         near = median_high(self.busy) > BUSY if self.busy else self.tried > ACT_AT * (self.capacity or 0)
-        if (slow or self.errors > ERRORS_UP * CALM_ERRORS) and near:
+        failing = self.errors > ERRORS_UP * CALM_ERRORS
+        # Guards against connections refused or dear: where tries fail and cores idle, fewer lines need fewer.
+        # Harm: where they fail for another cause, a proxy's ops fall on fewer servers.
+        step = NARROWER if failing and self.busy and not near else GROWTH
+        self.breadth = min(max(self.breadth * step, LEAST_BREADTH), 1.0)
+        if (slow or failing) and near:
             self.trouble += 1 if self.trouble < 0 or not full else TROUBLE_PERIODS
             if self.trouble >= TROUBLE_PERIODS:
                 # Longer waits show the knee, at about 1 / KNEE of capacity; full rooms show capacity itself.
-                knee = KNEE * self.acked
-                found = self.acked if full else min(knee, shown or knee)
+                found = self.acked if full else min(KNEE * self.acked, shown or KNEE * self.acked)
                 if self.capacity is None or found < self.capacity:
                     self.capacity = found
                     # What was let in before has to be worked off before waits say anything of the new C.
@@ -364,12 +365,13 @@
                     self.trouble = -round(lag / self.period)
         else:
             self.trouble = max(self.trouble + 1, 0) if self.trouble < 0 else 0
-            idle = shown is None or (self.capacity or 0) < KNEE * shown
-            if self.capacity and idle and not (slow and near) and not full:
+            calm = not full and not (slow and near)
+            if self.capacity and calm and self.capacity < KNEE * (shown or self.capacity):
                 # Where reports tell busy cores, they show how far C may grow, and how fast after a collapse
                 # that set it too low. Harm: cores busy with other things than ops read as capacity.
                 faster = min(FAST_GROWTH * self.capacity, shown) if self.binding and shown else 0.0
                 self.capacity = max(GROWTH * self.capacity, faster)
+        self.capacity = self.capacity and max(self.capacity, self.acked)  # what is done can be done
         self.binding = bool(self.capacity) and sum(self.demand) > ACT_AT * self.capacity
         self.caps = self.fill(self.demand) if self.binding else [None] * len(self.demand)
         yield ("note", f"C {self.capacity or 0:.0f} heard {[round(h) for h in self.demand]} "
@@ -379,8 +381,7 @@
     def fill(self, heard):
         """Weighted water filling: what one op type cannot use passes to the others by weight, in turn."""
         budget = (1 - HEADROOM) * self.capacity
-        best = max(o.earnings for o in self.op_types)
-        weights = [max(d, 0.1) * (o.earnings / best) ** EARNINGS_POWER
+        weights = [max(d, 0.1) * o.earnings**EARNINGS_POWER
                    for o, d in zip(self.op_types, heard, strict=True)]
         least, left = LEAST_CAP * budget / len(heard), list(range(len(heard)))
         while left:
@@ -429,7 +430,7 @@
         spare = TABLES * self.site.get("backlog", 1000) - len(self.crew) * (head + least)
         part = proxy.total / max(self.crew_total, 0.1)
         kept = KEPT * proxy.total * self.site.get("keepalive", 15 * SECOND) / SECOND
-        return min(len(self.want), ceil(least + max(min(kept - least, spare * part), 0)))
+        return min(len(self.want), max(ceil(self.breadth * max(min(kept, least + spare * part), least)), 2))
 
     def line_changes(self, proxy, tick):
         """What brings a proxy's part of the shared table up to date: 0 removes a line. Its servers are those
