--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -41,7 +41,7 @@
 SOFT_PART = 0.3                # most of the fleet withdrawn on tries alone
 PACE = 0.5                     # part of the channel's stated speed that is counted on
 ROOM = 0.4                     # part of the backlog for what can wait; rule-bound changes may use 0.9
-TABLES = 0.5                   # part of the backlog that all joined proxies' tables together may fill
+TABLES = 0.12                  # part of the backlog that all joined proxies' tables together may fill
 KEPT = 0.7                     # a line is picked about so many times while an idle connection lasts, or more
 CROSSING = 1.25                # a server of another zone counts as so much more crowded
 NARROWER, LEAST_BREADTH = 0.7, 0.2  # a proxy's lines, a period, while tries fail and cores idle
@@ -326,7 +326,7 @@
                 alike = [s for s, _ in loads if s.kind == kind]
                 cores = sum(s.loaded[1] / s.loaded[0] for s in alike)
                 for server in alike:
-                    server.weight *= sum(s.tried[2] for s in alike) / max(cores * per_core, 0.1)
+                    server.weight *= (sum(s.tried[2] for s in alike) + 1) / (cores * per_core + 1)
         # Guards against reports that show less or more than there is, or are stuck. Harm: a server far slower
         # or faster than its kind's others is stepped by its waits rather than by its cores.
         fit = median_high(load for _, load in loads) / FIT
