A proxy holds its site's number of lines, more by its part of the ops

Cause: tables of 10 to 35 lines open connections that are dear or refused in trouble and close when idle; a proxy that turns hot on six lines loads those alone. The tables' part of the backlog is an eighth, and a proxy holds at least twice its part of the ops x servers, so that it brings no server more than half of its even load.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -41,7 +41,8 @@
 SOFT_PART = 0.3                # most of the fleet withdrawn on tries alone
 PACE = 0.5                     # part of the channel's stated speed that is counted on
 ROOM = 0.4                     # part of the backlog for what can wait; rule-bound changes may use 0.9
-TABLES = 0.12                  # part of the backlog that all joined proxies' tables together may fill
+TABLES = 0.12                  # part of the backlog up to which all joined proxies' tables may grow
+SPREAD = 2                     # one proxy brings a server less than one part in so many of its even load
 KEPT = 0.7                     # a line is picked about so many times while an idle connection lasts, or more
 CROSSING = 1.25                # a server of another zone counts as so much more crowded
 NARROWER, LEAST_BREADTH = 0.7, 0.2  # a proxy's lines, a period, while tries fail and cores idle
@@ -64,8 +65,7 @@
         self.servers, self.proxies = {}, {}      # by id, for the door only
         self.want, self.urgent = {}, {}          # the shared table; the proxies that cannot wait, in order
         self.deciding, self.pressing = None, True  # the orders under way; something cannot wait
-        self.breadth = 1.0                       # part of their usual lines that proxies hold
-        self.place_at = now + 3 * self.period
+        self.breadth, self.place_at = 1.0, now + 3 * self.period  # part of lines held; kinds are measured at
         self.due, self.decided_at, self.reported = now, now - self.period, False
         self.shift = None                        # puts the reports' arrival into the middle of a bucket
         self.ask_again, self.list_fails = now, 0
@@ -423,12 +423,12 @@
             not most or proxy.messages.sums(self.now)[0] + 1 <= (0.6 if calm else 0.95) * most))
 
     def table_size(self, proxy):
-        """How many lines of the shared table a proxy holds: all on a small fleet. On a large one by its part
-        of the ops, so that all tables fit the channel, none more than are picked before idle connections
-        close, none fewer than the site's own. Harm: a proxy that turns hot loads few servers for a while."""
-        least, head = self.site.get("standing", 6), self.site.get("head", 0)
+        """How many lines of the shared table a proxy holds: all on a small fleet. On a large one the site's
+        own number, or by its part of the ops so many that no server gets its whole burst, more as the channel
+        takes them, none that its ops do not keep connected. Harm: a proxy that turns hot waits for lines."""
+        part, head = proxy.total / max(self.crew_total, 0.1), self.site.get("head", 0)
+        least = max(self.site.get("standing", 6), SPREAD * part * len(self.want))
         spare = TABLES * self.site.get("backlog", 1000) - len(self.crew) * (head + least)
-        part = proxy.total / max(self.crew_total, 0.1)
         kept = KEPT * proxy.total * self.site.get("keepalive", 15 * SECOND) / SECOND
         return min(len(self.want), max(ceil(self.breadth * max(min(kept, least + spare * part), least)), 2))
 
