--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -430,7 +430,7 @@
         least = max(self.site.get("standing", 6), SPREAD * part * len(self.want))
         spare = TABLES * self.site.get("backlog", 1000) - len(self.crew) * (head + least)
         kept = KEPT * proxy.total * self.site.get("keepalive", 15 * SECOND) / SECOND
-        return min(len(self.want), max(ceil(self.breadth * max(min(kept, least + spare * part), least)), 2))
+        return min(len(self.want), max(ceil(self.breadth * max(min(kept, least + spare / len(self.crew)), least)), 2))
 
     def line_changes(self, proxy, tick):
         """What brings a proxy's part of the shared table up to date: 0 removes a line. Its servers are those
