--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -428,9 +428,9 @@
         takes them, none that its ops do not keep connected. Harm: a proxy that turns hot waits for lines."""
         part, head = proxy.total / max(self.crew_total, 0.1), self.site.get("head", 0)
         least = max(self.site.get("standing", 6), SPREAD * part * len(self.want))
-        spare = TABLES * self.site.get("backlog", 1000) - len(self.crew) * (head + least)
+        spare = TABLES * self.site.get("backlog", 1000) / max(len(self.crew), 1) - head - least
         kept = KEPT * proxy.total * self.site.get("keepalive", 15 * SECOND) / SECOND
-        return min(len(self.want), max(ceil(self.breadth * max(min(kept, least + spare / len(self.crew)), least)), 2))
+        return min(len(self.want), max(ceil(self.breadth * max(min(kept, least + spare), least)), 2))
 
     def line_changes(self, proxy, tick):
         """What brings a proxy's part of the shared table up to date: 0 removes a line. Its servers are those
