--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -38,7 +38,7 @@
 BUSY, FULL = 0.75, 0.35        # busy cores from which trouble is the pool's; wait / mean target: rooms full
 FIT = 2                        # a reported load is believed within this factor of what the waits show
 BAD, BAD_TRIES = 0.5, 4        # aborted part, of so many tries, of a server bad where the fleet is not
-SOFT_PART = 0.3                # most of the fleet withdrawn on tries alone
+SOFT_PART = 0.15               # most of the fleet withdrawn on tries alone
 PACE = 0.5                     # part of the channel's stated speed that is counted on
 ROOM = 0.4                     # part of the backlog for what can wait; rule-bound changes may use 0.9
 TABLES = 0.12                  # part of the backlog up to which all joined proxies' tables may grow
@@ -288,7 +288,7 @@
             working = server.loaded[1] > BUSY * server.loaded[0] > 0 and not unreachable
             failing = part is not None and part > BAD + (0 if unreachable else BAD * usual) and not working
             if server.trust > 0:
-                soft = out < SOFT_PART * len(candidates) - 1
+                soft = out < SOFT_PART * (len(candidates) - 1)
                 if (unreachable and (failing or part is None)) or (failing and soft):
                     server.trust, server.trust_since = 0.0, self.now
                     server.strikes += 1
