--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -24,7 +24,7 @@
 PERIOD = SECOND                # about 1 s, in whole cycles of reports
 HEADROOM = 0.05                # * part of C kept free
 RHO = 0.2                      # * what a cap leaves above heard demand
-KNEE = 1.3                     # C over the acked rate when trouble shows as longer waits
+KNEE, SHOWN = 1.3, 0.9         # C over the acked rate at longer waits; over what cores show in full rooms
 TROUBLE_PERIODS = 3
 ERRORS_UP, LATENCY_UP = 2.0, 1.5
 GROWTH, FAST_GROWTH = 1.05, 1.25  # of C a calm period; ours: at most, while caps bind and cores idle
@@ -82,7 +82,7 @@
     def listed(self, now, how, lines):
         if how == "failed":
             self.list_fails += 1
-            chance = crc32(b"%d:%d" % (self.seed, next(self.counter))) / 2**32  # from the instance's seed
+            chance = crc32(b"%d:%d" % (self.seed, next(self.counter))) / 2**32
             wait = min(self.site.get("ask_within", 8 * SECOND) / 2, SECOND / 2 * 2 ** min(self.list_fails, 6))
             self.ask_again = now + int(wait * (0.5 + chance))
             return
@@ -357,8 +357,9 @@
             self.trouble += 1 if self.trouble < 0 or not full else TROUBLE_PERIODS
             if self.trouble >= TROUBLE_PERIODS:
                 # Longer waits show the knee, at about 1 / KNEE of capacity; full rooms show capacity itself.
-                found = self.acked if full else min(KNEE * self.acked, shown or KNEE * self.acked)
-                if self.capacity is None or found < self.capacity:
+                knee = KNEE * self.acked
+                found = max(self.acked, SHOWN * (shown or 0)) if full else min(knee, shown or knee)
+                if found < (self.capacity or found + 1):
                     self.capacity = found
                     # What was let in before has to be worked off before waits say anything of the new C.
                     lag = self.site.get("transit_most", 0) + max(o.target_latency for o in self.op_types)
@@ -464,9 +465,8 @@
         Rule-bound changes and joiners go at once; the rest once a period, as the channel has room, what moves
         most ops first, counted again for each period that it has waited."""
         head, work = self.site.get("head", 0), []
-        if tick:
-            gone = [s for s in self.servers.values() if s not in self.want]
-            self.urgent.update((p, None) for s in gone for p in s.holders)
+        for server in [s for s in self.servers.values() if tick and s not in self.want]:
+            self.urgent.update(server.holders)
         for proxy in self.crew if tick else [p for p in self.urgent if p.joined]:
             changed, levels = self.line_changes(proxy, tick), self.level_changes(proxy)
             calm = proxy not in self.urgent
