One place makes the holders of a server that may not be picked urgent; a kind's ratio taken once

Read again as a whole: the list's entries, the whole list and the period each marked the proxies that hold a server which is drained or gone; the update of the tables now does it for every server outside the shared table, whatever the reason. A kind's measured ratio was summed anew for each of its servers.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -96,15 +96,12 @@
                 server.loads = Ring(self.cycle, 8, 3)
             if state == "open" and (server.state != "open" or started > server.started):
                 self.begin(server, now, started)
-            elif state != server.state:
-                self.urgent.update(server.holders)
             server.zone, server.kind, server.cell = zone, kind, cell
             server.state, server.size = state, max(weight, 0.01)
         if how != "changes":
             for ident, server in self.servers.items():
-                if ident not in named and server.state != "gone":
+                if ident not in named:
                     server.state = "gone"
-                    self.urgent.update(server.holders)
         self.pressing = True
 
     def begin(self, server, now, started):
@@ -325,8 +322,9 @@
             for kind in dict.fromkeys(s.kind for s, _ in loads):
                 alike = [s for s, _ in loads if s.kind == kind]
                 cores = sum(s.loaded[1] / s.loaded[0] for s in alike)
+                done = (sum(s.tried[2] for s in alike) + 1) / (cores * per_core + 1)
                 for server in alike:
-                    server.weight *= (sum(s.tried[2] for s in alike) + 1) / (cores * per_core + 1)
+                    server.weight *= done
         # Guards against reports that show less or more than there is, or are stuck. Harm: a server far slower
         # or faster than its kind's others is stepped by its waits rather than by its cores.
         fit = median_high(load for _, load in loads) / FIT
@@ -465,8 +463,9 @@
         Rule-bound changes and joiners go at once; the rest once a period, as the channel has room, what moves
         most ops first, counted again for each period that it has waited."""
         head, work = self.site.get("head", 0), []
-        for server in [s for s in self.servers.values() if tick and s not in self.want]:
-            self.urgent.update(server.holders)
+        for server in self.servers.values():
+            if server not in self.want:
+                self.urgent.update(server.holders)
         for proxy in self.crew if tick else [p for p in self.urgent if p.joined]:
             changed, levels = self.line_changes(proxy, tick), self.level_changes(proxy)
             calm = proxy not in self.urgent
--- a/foxstep/fleet.py
+++ b/foxstep/fleet.py
@@ -82,7 +82,7 @@
         self.joined = self.bound = False
         self.lines = {}                # Server -> weight ordered
         self.levels = []               # per op type: (quota, tries) ordered, None: never set
-        self.usage = usage              # per op type a Ring: ops, unanswered, time covered
+        self.usage = usage             # per op type a Ring: ops, unanswered, time covered
         self.ops = []                  # per op type the recent ops a second
         self.waited = 0                # periods since changes for it were put off
         self.messages = None           # Ring: messages written
