--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# `make demo` runs the main job, `make test` the tests; both set up what they need under .venv.
+PYTHON ?= python3
+VENV = .venv/foxstep-ready
+
+$(VENV): pyproject.toml
+	test -d .venv || $(PYTHON) -m venv .venv
+	.venv/bin/pip -q install --disable-pip-version-check -e ".[test]"
+	touch $@
+
+demo: $(VENV)
+	.venv/bin/foxstep drill first-light
+
+test: $(VENV)
+	.venv/bin/ruff check .
+	.venv/bin/python -m pytest -q
+
+.PHONY: demo test
--- /dev/null
+++ b/foxstep/commands/line.py
@@ -0,0 +1,64 @@
+"""The `foxstep` command and its subcommands' arguments; the work is in the files beside this one."""
+
+import re
+import sys
+
+import click
+
+from foxstep.commands import Refusing, logs
+from foxstep.site import Trouble, read_site
+
+LOOPBACK = re.compile(r"(127\.\d+\.\d+\.\d+|\[::1\]|localhost):\d{1,5}")
+
+
+def loopback(ctx, param, value):
+    if value is not None and not LOOPBACK.fullmatch(value):
+        raise click.BadParameter(f"expected a loopback address and port such as 127.0.0.1:0, got {value!r}")
+    return value
+
+
+@click.group(cls=Refusing)
+@click.option("--log", "form", type=click.Choice(["json", "people"]), default="people", help="its form")
+@click.option("--level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
+def main(form, level):
+    """Weights, subsets and levels for plain proxies, over gRPC."""
+    logs.set_up(form, level)
+
+
+@main.command()
+@click.argument("site")
+@click.option("--listen", default="127.0.0.1:0", callback=loopback, help="address to serve on")
+@click.option("--list", "list_address", callback=loopback, help="address of the list service (EDS)")
+@click.option("--state", type=click.Path(file_okay=False), help="folder for what outlives a restart")
+@click.option("--seed", type=int, default=1, help="of this controller's chance")
+@click.option("--off", multiple=True, type=click.Choice(["bare", "twice", "drain", "cold", "queue"]),
+              help="switch a guard off, to see a drill fail")
+def serve(site, listen, list_address, state, seed, off):
+    """Run a controller of SITE until SIGTERM or ctrl-C."""
+    from foxstep.commands.serve import run
+    run(read_site(site), listen, list_address, state, seed, off)
+
+
+@main.command()
+@click.argument("site")
+def check(site):
+    """Check SITE and print the map of settings that the decisions get."""
+    for name, value in sorted(read_site(site).plain().items()):
+        click.echo(f"{name} = {value}")
+
+
+@main.command()
+@click.argument("address", callback=loopback)
+@click.option("--json", "raw", is_flag=True, help="all of it, as JSON")
+def inspect(address, raw):
+    """Print what the controller at ADDRESS knows and what each proxy holds."""
+    from foxstep.commands.inspect import run
+    run(address, raw)
+
+
+def refuse(text):
+    raise Trouble(text)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/foxstep/commands/serve.py
@@ -0,0 +1,67 @@
+"""`foxstep serve`: one controller, until SIGTERM or ctrl-C."""
+
+import signal
+import time
+
+import anyio
+import grpc
+import structlog
+
+from foxstep.live.host import Host
+from foxstep.operate.service import OperatorService
+from foxstep.xds.front import MOST_REPORT, Front
+from foxstep.xds.listing import ListClient
+from foxstep.xds.probes import Prober
+
+STOP_WITHIN = 0.3
+OPTIONS = [("grpc.so_reuseport", 0), ("grpc.max_receive_message_length", MOST_REPORT),
+           ("grpc.max_concurrent_streams", 10_000), ("grpc.keepalive_time_ms", 5_000),
+           ("grpc.keepalive_timeout_ms", 2_000), ("grpc.http2.max_pings_without_data", 0),
+           ("grpc.http2.min_recv_ping_interval_without_data_ms", 1_000)]
+
+
+def clock():
+    return time.monotonic_ns() // 1000
+
+
+def wall():
+    return time.time_ns() // 1000
+
+
+async def wait_for_signal(scope):
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            scope.cancel()
+            return
+
+
+async def serve(site, listen, list_address, state, seed, off=()):
+    """Runs a controller of `site` on `listen`; the log's `ready` event tells the address."""
+    log = structlog.get_logger("foxstep")
+    host = Host(site.plain(), seed, clock, wall, state, off)
+    op_types = [{"name": o.name, "method": o.method} for o in site.op_types]
+    front = Front(host, site.name, op_types)
+    server = grpc.aio.server(options=OPTIONS)
+    front.add_to(server)
+    server.add_generic_rpc_handlers((OperatorService(host),))
+    port = server.add_insecure_port(listen)
+    prober = Prober(host)
+    await server.start()
+    log.info("ready", address=f"{listen.rpartition(':')[0]}:{port}", site=site.name, epoch=host.epoch,
+             me=site.controllers.me)
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(wait_for_signal, group.cancel_scope)
+            group.start_soon(host.run)
+            group.start_soon(prober.run)
+            if list_address:
+                group.start_soon(ListClient(host, list_address, site.server_list.cluster,
+                                            f"controller-{site.controllers.me}").run)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await server.stop(STOP_WITHIN)
+        log.info("stopped", orders=host.orders, messages=host.channel.sent_messages)
+
+
+def run(site, listen, list_address, state, seed, off=()):
+    anyio.run(serve, site, listen, list_address, state, seed, tuple(off))
--- /dev/null
+++ b/foxstep/live/host.py
@@ -0,0 +1,286 @@
+"""Hosts one decision module: calls its inputs as things happen, carries its orders out.
+
+Fronts call the inputs below from the event loop and hand over an outlet for each stream, whose
+`deliver(holding, message)` must not wait: it notes that the proxy is to be written. Nothing here knows a
+wire, and nothing is decided here: what the module orders goes to the channel, what the channel lets go is written.
+"""
+
+import heapq
+from itertools import count
+from typing import Protocol
+
+import anyio
+import structlog
+
+from foxstep.balance import Controller
+from foxstep.live.book import Book, Holding, Message
+from foxstep.live.channel import Channel
+from foxstep.live.intake import Intake
+from foxstep.live.remembered import Remembered
+from foxstep.live.repair import Repairs
+
+SECOND = 1_000_000
+CAUSES = 12  # inputs named in the log as what a batch of orders was decided on
+
+
+class Outlet(Protocol):
+    """One proxy's stream, as its front writes it. `stamp` marks what was last delivered."""
+
+    def deliver(self, holding: Holding, message: Message) -> None: ...
+
+    def end(self, reason: str) -> None: ...
+
+
+class Joined:
+    """A proxy whose stream is up."""
+
+    def __init__(self, ident, zone, rate, outlet):
+        self.ident, self.zone, self.rate, self.outlet = ident, zone, rate, outlet
+        self.delivered = self.accepted = self.refused = 0
+        self.last_refusal = ""
+
+
+class Host:
+    """`clock` tells monotonic microseconds, `wall` the wall clock's. `probe(server)` starts a probe,
+    `watch(on)` and `fetch()` ask the list service. `off` names guards that a drill switches off."""
+
+    def __init__(self, site, seed, clock, wall, directory=None, off=(), make=Controller):
+        self.site, self.seed, self.clock, self.off = site, seed, clock, frozenset(off)
+        self.log = structlog.get_logger("foxstep.live")
+        now = clock()
+        self.wall_offset = wall() - now
+        self.remembered = Remembered(directory)
+        self.epoch = self.remembered.next_epoch(wall())
+        self.controller = make(now, site, seed)
+        self.places = len(site["op_types"])
+        self.effects = [o["effect"] for o in site["op_types"]]
+        self.names = [o["name"] for o in site["op_types"]]
+        self.book = Book(self.places, int(site["head"]))
+        pace = site["lines_per_s"] / (50 if "queue" in self.off else 1)
+        self.channel = Channel(pace, site["backlog"], site["messages_most"], site["messages_window"],
+                               bounded="queue" not in self.off)
+        self.listed_lines = {}                     # server -> its line, as last told
+        self.intake = Intake(site["cycle"], site["intake_per_s"], self.listed_lines.__contains__)
+        self.repairs = Repairs(2 * site["cycle"])
+        self.joins = {}                            # ident -> Joined
+        self.timers, self.turns = [], count()
+        self.next_round = now + site["cycle"]
+        self.stirred = anyio.Event()
+        self.because, self.orders = [], 0
+        self.notes, self.lag = "", 0.0
+        self.probe = self.watch = self.fetch = lambda *_: None
+        self.unanswered = {}                       # (ident, number) -> when it was ordered
+        lines = self.remembered.read()
+        self.listed("remembered", [(*line[:6], line[6] and max(line[6] - self.wall_offset, 1))
+                                   for line in lines])
+
+    def stir(self, cause):
+        if len(self.because) < CAUSES:
+            self.because.append(cause)
+        self.stirred.set()
+
+    # -- what comes in ---------------------------------------------------------------------------------------
+
+    def listed(self, how, lines):
+        """The list of servers: lines as `interface.Listed`, starts on the host's clock."""
+        if "cold" in self.off:
+            lines = [(*line[:6], 0) for line in lines]
+        if "drain" in self.off and how in ("whole", "changes"):
+            named = {line[0] for line in lines}
+            standing = [line for ident, line in self.listed_lines.items() if ident not in named]
+            lines = [(*line[:4], "open", *line[5:]) for line in [*lines, *standing]]
+        if how in ("whole", "remembered"):
+            named = {line[0] for line in lines}
+            for ident, line in self.listed_lines.items():
+                if ident not in named:
+                    self.listed_lines[ident] = (*line[:4], "gone", *line[5:])
+        self.listed_lines.update((line[0], line) for line in lines)
+        self.controller.listed(self.clock(), how, lines)
+        if how in ("whole", "changes"):
+            kept = [(*line[:6], line[6] and line[6] + self.wall_offset)
+                    for line in self.listed_lines.values() if line[4] != "gone"]
+            self.remembered.keep(kept)
+        self.stir(f"listed {how} {len(lines)}")
+
+    def joined(self, ident, zone, rate, fresh, outlet):
+        """A proxy's stream is up. An older stream under the same id is ended: its queue is void."""
+        older = self.joins.pop(ident, None)
+        if older:
+            self.log.info("joined twice", proxy=ident)
+            older.outlet.end("a newer stream of the same proxy is up")
+            self.channel.drop(ident)
+            self.controller.left(self.clock(), ident)
+        self.joins[ident] = Joined(ident, zone, rate, outlet)
+        self.book.join(ident)
+        self.repairs.forget(ident)
+        self.controller.joined(self.clock(), ident, zone, rate, fresh)
+        self.stir(f"joined {ident}")
+
+    def left(self, ident, outlet, reason=""):
+        """A stream broke; one that a newer has replaced changes nothing."""
+        joined = self.joins.get(ident)
+        if joined is None or joined.outlet is not outlet:
+            return
+        del self.joins[ident]
+        self.channel.drop(ident)
+        self.book.leave(ident)
+        self.repairs.forget(ident)
+        self.controller.left(self.clock(), ident)
+        self.log.info("left", proxy=ident, reason=reason)
+        self.stir(f"left {ident}")
+
+    def applied(self, ident, outlet, marks):
+        """A proxy has accepted a delivered message (and all before it) that carried these marks."""
+        joined = self.joins.get(ident)
+        if joined is None or joined.outlet is not outlet:
+            return
+        joined.accepted += 1
+        self.repairs.accepted(ident)
+        now = self.clock()
+        for number, ordered_at in marks:
+            self.controller.applied(now, ident, number, now - ordered_at)
+        if marks:
+            self.stir(f"applied {ident}")
+
+    def refused(self, ident, outlet, reason):
+        """A proxy keeps its old table. The module is told by its joining anew, when the repair is due."""
+        joined = self.joins.get(ident)
+        if joined is None or joined.outlet is not outlet:
+            return
+        joined.refused += 1
+        joined.last_refusal = reason[:300]
+        due = self.repairs.refused(self.clock(), ident)
+        self.log.warning("refused", proxy=ident, reason=reason[:300],
+                         repair_in_ms=(due - self.clock()) // 1000)
+        self.stir(f"refused {ident}")
+
+    def probed(self, server, outcome, took, load):
+        self.controller.probed(self.clock(), server, outcome, took, load)
+        self.stir(f"probed {server} {outcome}")
+
+    # -- orders ----------------------------------------------------------------------------------------------
+
+    def allowed_tries(self, place, tries):
+        """Guards against a repeat of what must not run twice: only proof that the first try never ran lets a
+        once-only op be tried again. Harm: none that the rules know."""
+        return min(tries, 1) if self.effects[place] == "once-only" and "twice" not in self.off else tries
+
+    def carry_out(self, now):
+        """Pulls orders until there are none; the messages they come to enter the channel."""
+        pulled = 0
+        while (order := self.controller.next_order(now)) is not None:
+            verb, *args = order
+            pulled += 1
+            if verb == "wake":
+                heapq.heappush(self.timers, (max(args[0], now + 1), next(self.turns), args[1]))
+            elif verb == "note":
+                self.notes = args[0]
+                self.log.info("period", note=args[0], waiting=self.channel.lines_waiting(now))
+            elif verb == "weigh":
+                self.book.weigh(now, *args)
+            elif verb == "admit":
+                table, mask, quota, tries = args
+                for place in self.book.places_of(mask):
+                    self.book.admit(now, table, 1 << place, quota, self.allowed_tries(place, tries))
+            elif verb == "bind":
+                if "bare" not in self.off:
+                    self.book.bind(now, *args)
+            elif verb == "withdraw":
+                self.book.withdraw(now, *args)
+            elif verb == "empty":
+                self.book.empty(now, *args)
+            elif verb == "mark":
+                self.book.mark(now, *args)
+            elif verb == "probe":
+                self.probe(*args)
+            elif verb == "watch":
+                self.watch(*args)
+            elif verb == "fetch":
+                self.fetch()
+            else:
+                self.log.error("order not carried out", verb=verb)
+        messages = self.book.close_batch()
+        for message in messages:
+            self.channel.offer(now, message)
+        if messages:
+            self.log.debug("orders", because=self.because, messages=len(messages),
+                           lines=sum(m.cost for m in messages), waiting=self.channel.lines_waiting(now))
+            for message in messages:
+                self.log.debug("ordered", proxy=message.proxy, whole=message.whole,
+                               lines={server: weight for (_, server), weight in message.lines.items()},
+                               levels=[(self.names[k], *level) for (_, k), level in message.levels.items()])
+        self.because = []
+        self.orders += pulled
+        return pulled
+
+    def send_due(self, now):
+        """Writes what the channel lets go by now."""
+        while (message := self.channel.take(now)) is not None:
+            joined = self.joins.get(message.proxy)
+            if joined is None:
+                continue
+            if "drain" in self.off and not message.whole:
+                message.lines = {key: weight for key, weight in message.lines.items() if weight}
+            holding = self.book.holdings[message.proxy]
+            holding.apply(message)
+            joined.delivered += 1
+            joined.outlet.deliver(holding, message)
+
+    def turn(self):
+        """One round of the loop: what is due by now, the orders that follow, the messages that may leave."""
+        now = self.clock()
+        while self.timers and self.timers[0][0] <= now:
+            mark = heapq.heappop(self.timers)[2]
+            self.controller.woken(now, mark)
+            self.stir(f"woken {mark}")
+        if now >= self.next_round:
+            self.lag = max(self.lag * 0.9, (now - self.next_round) / SECOND)
+            self.next_round = max(self.next_round + self.site["cycle"], now + self.site["cycle"] // 2)
+            if self.intake.round(self.controller, now):
+                self.stir("reports")
+        while (ident := self.repairs.next_due(now)) is not None:
+            joined = self.joins[ident]
+            self.controller.joined(now, ident, joined.zone, joined.rate, False)
+            self.stir(f"repair {ident}")
+        if self.because:
+            self.carry_out(now)
+        self.send_due(now)
+        return now
+
+    def next_at(self, now):
+        times = [self.next_round, self.channel.next_at(now), self.repairs.next_at()]
+        times += [self.timers[0][0]] if self.timers else []
+        return min(t for t in times if t is not None)
+
+    async def run(self):
+        """Turns until cancelled. Inputs that come within one `step` are decided on together."""
+        step = self.site["step"] / SECOND
+        while True:
+            now = self.turn()
+            with anyio.move_on_after(max((self.next_at(now) - now) / SECOND, 0.0005)):
+                await self.stirred.wait()
+                await anyio.sleep(step)
+            self.stirred = anyio.Event()
+
+    # -- what can be looked at -------------------------------------------------------------------------------
+
+    def view(self):
+        """Plain values for `foxstep inspect`: what each proxy holds, C, caps, the channel."""
+        now, module = self.clock(), self.controller
+        proxies = {}
+        for ident, joined in self.joins.items():
+            holding = self.book.holdings[ident]
+            proxies[ident] = {
+                "zone": joined.zone, "delivered": joined.delivered, "accepted": joined.accepted,
+                "refused": joined.refused, "last_refusal": joined.last_refusal,
+                "waiting": ident in self.channel.queue, "owed": ident in self.channel.owed,
+                "lines": {name: holding.lines_of(k) for k, name in enumerate(self.names)},
+                "levels": {name: holding.level_of(k) for k, name in enumerate(self.names)}}
+        return {"epoch": self.epoch, "capacity": module.capacity, "note": self.notes,
+                "caps": dict(zip(self.names, module.caps, strict=True)), "proxies": proxies,
+                "servers": {ident: line[4] for ident, line in self.listed_lines.items()},
+                "channel": {"waiting": self.channel.lines_waiting(now), "backlog": self.channel.backlog,
+                            "most_waiting": self.channel.most_waiting, "owed": len(self.channel.owed),
+                            "sent_lines": self.channel.sent_lines,
+                            "sent_messages": self.channel.sent_messages},
+                "intake_refused": dict(self.intake.refused), "lag_s": round(self.lag, 4)}
--- /dev/null
+++ b/foxstep/standins/lists.py
@@ -0,0 +1,84 @@
+"""A stand-in list service: endpoint discovery (EDS), seconds late, knowing only of processes."""
+
+import time
+
+import anyio
+import grpc
+from envoy.config.core.v3 import health_check_pb2
+from envoy.config.endpoint.v3 import endpoint_pb2
+from envoy.service.discovery.v3 import discovery_pb2
+from envoy.service.endpoint.v3 import eds_pb2_grpc
+
+KIND = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
+
+
+class ListService(eds_pb2_grpc.EndpointDiscoveryServiceServicer):
+    """`entries`: ident -> (zone, kind, state, started or 0). What is set shows `lag` seconds later."""
+
+    def __init__(self, record, clock, lag):
+        self.record, self.clock, self.lag = record, clock, lag
+        self.entries, self.shown, self.version = {}, {}, 0
+        self.changed, self.broken, self.server, self.port = anyio.Event(), False, None, 0
+        self.pending = []
+
+    async def start(self):
+        self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
+        eds_pb2_grpc.add_EndpointDiscoveryServiceServicer_to_server(self, self.server)
+        self.port = self.server.add_insecure_port(f"127.0.0.1:{self.port}")
+        await self.server.start()
+
+    def set(self, ident, zone, kind, state, started=0.0, at_once=False):
+        """state: open, draining or gone."""
+        entries = dict(self.entries)
+        if state == "gone":
+            entries.pop(ident, None)
+        else:
+            entries[ident] = (zone, kind, state, started)
+        self.entries = entries
+        self.pending.append((self.clock() + (0 if at_once else self.lag), entries))
+
+    async def run(self):
+        """Shows what is due."""
+        while True:
+            now = self.clock()
+            due = [entries for at, entries in self.pending if at <= now]
+            if due:
+                self.pending = [(at, entries) for at, entries in self.pending if at > now]
+                self.shown, self.version = due[-1], self.version + 1
+                self.changed.set()
+                self.changed = anyio.Event()
+            await anyio.sleep(0.05)
+
+    def response(self):
+        made = endpoint_pb2.ClusterLoadAssignment(cluster_name="servers")
+        groups, offset = {}, time.time() - self.clock()
+        for ident, (zone, kind, state, started) in self.shown.items():
+            if zone not in groups:
+                groups[zone] = made.endpoints.add()
+                groups[zone].locality.zone = zone
+            endpoint = groups[zone].lb_endpoints.add()
+            endpoint.health_status = (health_check_pb2.DRAINING if state == "draining"
+                                      else health_check_pb2.HEALTHY)
+            address = endpoint.endpoint.address.socket_address
+            address.address, port = ident.rsplit(":", 1)
+            address.port_value = int(port)
+            facts = endpoint.metadata.filter_metadata["foxstep"]
+            facts.update({"kind": kind, "started": started + offset if started else 0})
+        answer = discovery_pb2.DiscoveryResponse(version_info=str(self.version), type_url=KIND,
+                                                 nonce=str(self.version))
+        answer.resources.add().Pack(made)
+        return answer
+
+    async def StreamEndpoints(self, request_iterator, context):
+        first = await anext(aiter(request_iterator))
+        while True:
+            if self.broken:
+                await context.abort(grpc.StatusCode.UNAVAILABLE, "out of order")
+            for ident, (zone, _, state, started) in self.shown.items():
+                self.record("told", controller=first.node.id, server=ident, zone=zone, state=state,
+                            began=started, version=self.version)
+            await context.write(self.response())
+            version = self.version
+            while version == self.version and not self.broken:
+                with anyio.move_on_after(1):
+                    await self.changed.wait()
--- /dev/null
+++ b/foxstep/standins/server.py
@@ -0,0 +1,134 @@
+"""A stand-in server: cores, a queue, a cold ramp, a fall, drains, ORCA reports, an effect log. gRPC in."""
+
+import asyncio
+import json
+import random
+
+import anyio
+import grpc
+from xds.data.orca.v3 import orca_load_report_pb2
+from xds.service.orca.v3 import orca_pb2
+
+ORCA = "/xds.service.orca.v3.OpenRcaService/StreamCoreMetrics"
+
+
+class Server:
+    """`work` maps an op type to its mean work in seconds on one warm core. `note(table, **row)` records."""
+
+    def __init__(self, name, zone, cores, work, cold, record, clock, seed, queue=64, connections=300):
+        self.name, self.zone, self.cores, self.work, self.cold = name, zone, cores, work, cold
+        self.record, self.clock, self.chance = record, clock, random.Random(seed)
+        self.queue, self.connections = queue, connections
+        self.port, self.server, self.started, self.state = 0, None, 0.0, "down"
+        self.waiting = self.running = 0
+        self.busy, self.busy_at, self.peers, self.brought = 0.0, 0.0, {}, []
+        self.silent, self.slower, self.failing, self.lost = None, 1.0, {}, 0.0
+
+    @property
+    def ident(self):
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self, cold=True):
+        """Listens on its port (a new one the first time); cold unless it is said to have run for long."""
+        self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
+        self.server.add_generic_rpc_handlers((self,))
+        for _ in range(50):  # its own port may be held a moment by what is being closed
+            try:
+                self.port = self.server.add_insecure_port(f"127.0.0.1:{self.port}")
+                break
+            except RuntimeError:
+                await anyio.sleep(0.1)
+        await self.server.start()
+        self.slots = asyncio.Semaphore(self.cores)
+        self.started = self.clock() if cold else 0.0
+        self.waiting = self.running = 0
+        self.brought, self.peers, self.silent, self.state = [], {}, None, "up"
+        capacity = self.cores / (sum(self.work.values()) / len(self.work))
+        self.record("started", server=self.ident, name=self.name, zone=self.zone, cold=cold,
+                    capacity=capacity, cores=float(self.cores))
+
+    async def crash(self):
+        self.state = "down"
+        await self.server.stop(None)
+        self.record("stopped", server=self.ident)
+
+    def warmth(self):
+        share, ramp, _, _ = self.cold
+        age = self.clock() - self.started
+        return 1.0 if not self.started or age >= ramp else share + (1 - share) * age / ramp
+
+    def falls(self, work):
+        """Whether what it was brought lately is more than a cold process bears."""
+        _, _, multiple, span = self.cold
+        now = self.clock()
+        self.brought.append((now, work))
+        while self.brought[0][0] < now - span:
+            self.brought.pop(0)
+        if self.warmth() == 1.0:
+            return False
+        return sum(w for _, w in self.brought) > multiple * self.cores * self.warmth() * span + 4 * work
+
+    def service(self, details):
+        if details.method == ORCA:
+            return grpc.unary_stream_rpc_method_handler(
+                self.tell_load, orca_pb2.OrcaLoadReportRequest.FromString,
+                orca_load_report_pb2.OrcaLoadReport.SerializeToString)
+        op_type = details.method.rpartition("/")[2]
+        if op_type not in self.work:
+            return None
+
+        async def handle(request, context):
+            return await self.op(op_type, request, context)
+        return grpc.unary_unary_rpc_method_handler(handle)
+
+    def load(self):
+        report = orca_load_report_pb2.OrcaLoadReport(cpu_utilization=min(self.running / self.cores, 1.0))
+        report.named_metrics["waiting"] = self.waiting
+        return report
+
+    async def tell_load(self, request, context):
+        if self.silent:
+            await self.silent.wait()
+        await anyio.sleep(0.003)
+        yield self.load()
+
+    async def op(self, op_type, request, context):
+        facts, now = json.loads(request), self.clock()
+        work = self.chance.lognormvariate(-0.1, 0.45) * self.work[op_type]
+        self.record("received", server=self.ident, proxy=facts["proxy"], op=facts["id"], op_type=op_type,
+                    work=work)
+        self.peers[context.peer()] = now
+        if len(self.peers) > self.connections:
+            self.peers = {p: t for p, t in self.peers.items() if t > now - 15}
+            if len(self.peers) > self.connections:
+                await context.abort(grpc.StatusCode.UNAVAILABLE, "too many connections")
+        if self.silent:
+            await self.silent.wait()
+        if self.falls(work):
+            self.record("fell", server=self.ident)
+            asyncio.get_running_loop().create_task(self.crash())
+            self.state = "fallen"
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "fallen")
+        if self.chance.random() < self.failing.get(op_type, 0.0):
+            await context.abort(grpc.StatusCode.INTERNAL, "failing")
+        if self.waiting >= self.queue:
+            await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "full")
+        began = self.clock()
+        self.waiting += 1
+        try:
+            await self.slots.acquire()
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        try:
+            await anyio.sleep(work * self.slower / self.warmth())
+            self.record("effect", server=self.ident, op=facts["id"], op_type=op_type, proxy=facts["proxy"])
+        finally:
+            self.running -= 1
+            self.slots.release()
+        if self.chance.random() < self.lost:
+            await anyio.sleep(30)
+        report = self.load()
+        report.named_metrics["foxstep.latency_us"] = (self.clock() - began) * 1e6
+        context.set_trailing_metadata((("endpoint-load-metrics-bin", report.SerializeToString()),))
+        return b"ok"
--- /dev/null
+++ b/foxstep/xds/front.py
@@ -0,0 +1,309 @@
+"""The gRPC front: aggregated discovery, load reporting and quotas on one port, for one host."""
+
+import anyio
+import grpc
+import structlog
+from envoy.service.discovery.v3 import ads_pb2_grpc
+from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
+from envoy.service.rate_limit_quota.v3 import rlqs_pb2, rlqs_pb2_grpc
+from envoy.type.v3 import ratelimit_strategy_pb2
+
+from foxstep.xds import loads, resources
+from foxstep.xds.session import Session, TooMany
+
+SECOND = 1_000_000
+FIRST_WORD = 10.0          # seconds within which a new stream has to say who it is
+WRITE_WITHIN = 30.0        # seconds after which a reader that takes nothing is let go
+MOST_REPORT = 4 * 1024 * 1024
+OPEN_RATE = 1_000_000      # a rate that turns nothing away
+QUOTAS = "foxstep.quotas"  # client feature: levels reach it by quota assignments
+NODE_MOST = 64
+
+
+class Ended(Exception):
+    """A stream that this side ends, and why."""
+
+
+class Stream:
+    """One proxy's discovery stream: the host's outlet for it."""
+
+    def __init__(self, front, ident, zone, rate, quotas):
+        self.front, self.ident, self.zone, self.rate, self.quotas = front, ident, zone, rate, quotas
+        self.session = Session(self.render, front.host.epoch)
+        self.holding, self.ended, self.stirred = None, "", anyio.Event()
+        self.came = {}  # op type's place -> ops a second, as last reported
+
+    # -- as an outlet of the host
+
+    def deliver(self, holding, message):
+        self.holding = holding
+        kinds = []
+        lines = message.lines or message.shut or message.tables or message.emptied or message.whole
+        levels = self.levels_in_lines() and message.levels
+        if message.tables and not self.quotas:
+            kinds.append(resources.CLUSTER)
+        if lines or levels:
+            kinds.append(resources.LINES)
+        if message.levels or message.whole:
+            kinds.append(resources.ROUTES)
+        if message.levels or message.whole:
+            self.front.levels_changed(self.ident)
+        # A mark asks for an answer: the table is written for it even where only rates have changed.
+        if message.marks and not lines and resources.LINES not in kinds and not message.levels:
+            kinds.append(resources.LINES)
+        kinds.sort(key=[resources.LINES, resources.ROUTES, resources.CLUSTER].index)
+        self.session.due(kinds, message.marks, (message.first_at, message.cost))
+        self.stirred.set()
+
+    def end(self, reason):
+        self.ended = self.ended or reason
+        self.stirred.set()
+
+    # -- as resources
+
+    def levels_in_lines(self):
+        """Whether levels go out as drops: always as shares, as rates where the client speaks no quotas."""
+        kind = self.front.site["level"]
+        return kind == "share" or (kind == "rate" and not self.quotas)
+
+    def assignment(self, place):
+        """The name of the assignment that an op type's cluster points to."""
+        one_table = self.holding is None or len(set(self.holding.tables)) == 1
+        names = self.front.op_types
+        return resources.EVERY if one_table and not self.levels_in_lines() else names[place]["name"]
+
+    def share(self, place):
+        level = self.levels_in_lines() and self.holding.level_of(place)
+        if not level:
+            return None
+        if self.front.site["level"] == "share":
+            return level[0]
+        came = self.came.get(place, 0.0)
+        return min(1.0, level[0] / came) if came else None
+
+    def tries(self, place):
+        level = self.holding and self.holding.level_of(place)
+        usual = self.front.site["usual_tries"] if level is None else level[1]
+        return self.front.host.allowed_tries(place, usual)
+
+    def render(self, kind, names):
+        front, site_name = self.front, self.front.site_name
+        if kind == resources.LISTENER:
+            return {site_name: resources.listener(site_name)} if site_name in names else {}
+        if kind == resources.ROUTES:
+            made = resources.routes(site_name, front.op_types, self.tries)
+            return {site_name: made} if site_name in names else {}
+        if kind == resources.CLUSTER:
+            return {o["name"]: resources.cluster(o["name"], self.assignment(k))
+                    for k, o in enumerate(front.op_types) if "*" in names or o["name"] in names}
+        made = {}
+        for place, op_type in enumerate(front.op_types):
+            for name in (op_type["name"], resources.EVERY):
+                weights = self.holding and name in names and self.holding.lines_of(place)
+                if weights is not None and weights is not False and name not in made:
+                    share = self.share(place) if name != resources.EVERY else None
+                    made[name] = resources.lines(name, weights, front.zone_of, site_name, share)
+        return made
+
+    async def write_all(self, context):
+        """Writes responses as they become due, until the stream is ended."""
+        while not self.ended:
+            while (response := self.session.next_response()) is not None:
+                with anyio.fail_after(WRITE_WITHIN):
+                    await context.write(response)
+            with anyio.move_on_after(WRITE_WITHIN):
+                await self.stirred.wait()
+            self.stirred = anyio.Event()
+        raise Ended(self.ended)
+
+
+class QuotaStream:
+    """One proxy's quota stream: levels as assignments."""
+
+    def __init__(self, front):
+        self.front, self.ident = front, None
+        self.op_types, self.sent, self.stirred = {}, {}, anyio.Event()
+
+    def response(self):
+        """Assignments that differ from those sent, or None."""
+        stream = self.front.streams.get(self.ident)
+        made = rlqs_pb2.RateLimitQuotaResponse()
+        for op_type in self.op_types:
+            place = self.front.place_of[op_type]
+            level = stream.holding.level_of(place) if stream and stream.holding else None
+            quota = None if level is None or level[0] >= OPEN_RATE else level[0]
+            if self.sent.get(op_type, None) == quota:
+                continue
+            self.sent[op_type] = quota
+            action = made.bucket_action.add()
+            action.bucket_id.bucket.update({"proxy": self.ident, "op_type": op_type})
+            strategy = action.quota_assignment_action.rate_limit_strategy
+            if quota is None:
+                strategy.blanket_rule = ratelimit_strategy_pb2.RateLimitStrategy.ALLOW_ALL
+            elif quota <= 0:
+                strategy.blanket_rule = ratelimit_strategy_pb2.RateLimitStrategy.DENY_ALL
+            else:
+                # One op each 1 / quota seconds, and what one second lets in at a time.
+                strategy.token_bucket.max_tokens = max(1, round(quota))
+                strategy.token_bucket.tokens_per_fill.value = 1
+                strategy.token_bucket.fill_interval.FromNanoseconds(round(1e9 / quota))
+        return made if made.bucket_action else None
+
+    async def write_all(self, context):
+        while True:
+            while self.ident and (response := self.response()) is not None:
+                with anyio.fail_after(WRITE_WITHIN):
+                    await context.write(response)
+            with anyio.move_on_after(WRITE_WITHIN):
+                await self.stirred.wait()
+            self.stirred = anyio.Event()
+
+
+class Front(ads_pb2_grpc.AggregatedDiscoveryServiceServicer, lrs_pb2_grpc.LoadReportingServiceServicer,
+            rlqs_pb2_grpc.RateLimitQuotaServiceServicer):
+    """`op_types`: plain maps with `name` and, where the site states it, the gRPC `method`."""
+
+    def __init__(self, host, site_name, op_types):
+        self.host, self.site, self.site_name, self.op_types = host, host.site, site_name, op_types
+        self.place_of = {o["name"]: k for k, o in enumerate(op_types)}
+        self.streams, self.quota_streams = {}, {}
+        self.log = structlog.get_logger("foxstep.xds")
+        self.open = 0
+
+    def zone_of(self, server):
+        line = self.host.listed_lines.get(server)
+        return line[1] if line else ""
+
+    def levels_changed(self, ident):
+        quotas = self.quota_streams.get(ident)
+        if quotas:
+            quotas.stirred.set()
+
+    def add_to(self, server):
+        ads_pb2_grpc.add_AggregatedDiscoveryServiceServicer_to_server(self, server)
+        lrs_pb2_grpc.add_LoadReportingServiceServicer_to_server(self, server)
+        rlqs_pb2_grpc.add_RateLimitQuotaServiceServicer_to_server(self, server)
+
+    async def first_word(self, requests, context):
+        with anyio.move_on_after(FIRST_WORD):
+            return await anext(requests, None)
+        await context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, "nothing said on this stream")
+
+    async def both(self, reading, writing, context):
+        """Reads and writes until either ends; what is left of the other is cancelled."""
+        reason = "closed by the client"
+
+        async def read(scope):
+            await reading
+            scope.cancel()
+
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(read, group.cancel_scope)
+                group.start_soon(writing, context)
+        except* Ended as ended:
+            reason = str(ended.exceptions[0])
+        except* TimeoutError:
+            reason = f"took nothing for {WRITE_WITHIN:.0f} s"
+        except* TooMany as many:
+            reason = str(many.exceptions[0])
+        except* (grpc.aio.UsageError, grpc.aio.InternalError, grpc.RpcError):
+            reason = "broken"
+        return reason
+
+    # -- discovery
+
+    async def StreamAggregatedResources(self, request_iterator, context):
+        requests = aiter(request_iterator)
+        first = await self.first_word(requests, context)
+        if first is None:
+            return
+        if not 0 < len(first.node.id) <= NODE_MOST:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT,
+                                f"node.id of 1 to {NODE_MOST} bytes wanted, got {len(first.node.id)}")
+        ident, zone = first.node.id, first.node.locality.zone
+        facts = first.node.metadata.fields
+        told = facts["rate"].number_value if "rate" in facts else 0.0
+        stream = Stream(self, ident, zone, min(max(told, 0.0), OPEN_RATE),
+                        QUOTAS in first.node.client_features)
+        self.streams[ident] = stream
+        self.host.joined(ident, zone, stream.rate, not first.version_info, stream)
+        reason = "cancelled"
+        try:
+            self.heed(stream, first)
+            reason = await self.both(self.read_requests(stream, requests), stream.write_all, context)
+        finally:
+            self.host.left(ident, stream, reason)
+            if self.streams.get(ident) is stream:
+                del self.streams[ident]
+        if reason not in ("closed by the client", "broken"):
+            await context.abort(grpc.StatusCode.ABORTED, reason)
+
+    async def read_requests(self, stream, requests):
+        async for request in requests:
+            self.heed(stream, request)
+
+    def heed(self, stream, request):
+        answer = stream.session.ask(request)
+        if answer and answer[0] == "refused":
+            self.host.refused(stream.ident, stream, answer[1])
+        elif answer:
+            self.host.applied(stream.ident, stream, answer[1])
+        stream.stirred.set()
+
+    # -- load reports
+
+    async def StreamLoadStats(self, request_iterator, context):
+        requests = aiter(request_iterator)
+        request = await self.first_word(requests, context)
+        if request is None:
+            return
+        ident, zone = request.node.id, request.node.locality.zone
+        answer = lrs_pb2.LoadStatsResponse(send_all_clusters=True)
+        answer.load_reporting_interval.FromMicroseconds(self.site["cycle"])
+        await context.write(answer)
+        while request is not None:
+            stream = self.streams.get(ident)
+            if stream:  # only joined proxies' reports count: others' servers are another controller's
+                for stats in request.cluster_stats:
+                    loads.read_stats(self.host.intake, ident, zone, stats, self.place_of,
+                                     ident in self.quota_streams)
+                    self.note_rate(stream, stats)
+            request = await anext(requests, None)
+
+    def note_rate(self, stream, stats):
+        window = loads.micros(stats.load_report_interval)
+        if stats.cluster_name in self.place_of and window > 0:
+            issued = sum(s.total_issued_requests for s in stats.upstream_locality_stats)
+            stream.came[self.place_of[stats.cluster_name]] = (
+                (issued + stats.total_dropped_requests) * SECOND / window)
+
+    # -- quotas
+
+    async def StreamRateLimitQuotas(self, request_iterator, context):
+        requests, quotas = aiter(request_iterator), QuotaStream(self)
+        first = await self.first_word(requests, context)
+        if first is None:
+            return
+
+        def heed(report):
+            for usage in report.bucket_quota_usages:
+                ident = usage.bucket_id.bucket.get("proxy", "")
+                if quotas.ident is None and ident:
+                    quotas.ident = ident
+                    self.quota_streams[ident] = quotas
+            if quotas.ident:
+                told = loads.read_usage(self.host.intake, quotas.ident, report, self.place_of)
+                quotas.op_types.update(dict.fromkeys(told))
+                quotas.stirred.set()
+
+        async def read():
+            async for report in requests:
+                heed(report)
+
+        heed(first)
+        try:
+            await self.both(read(), quotas.write_all, context)
+        finally:
+            if quotas.ident and self.quota_streams.get(quotas.ident) is quotas:
+                del self.quota_streams[quotas.ident]
--- /dev/null
+++ b/foxstep/xds/session.py
@@ -0,0 +1,108 @@
+"""One aggregated discovery stream, state of the world: subscriptions, versions, nonces, answers. No I/O.
+
+`ask(request)` takes in what the client sends, `due(...)` notes what is to be written, `next_response()` gives
+the responses one by one until None. Source: the xDS transport protocol, SotW and aggregated variants.
+"""
+
+from collections import deque
+
+from envoy.service.discovery.v3 import discovery_pb2
+
+from foxstep.xds import resources
+
+# Make before break: clusters and their lines before the routes that name them.
+ORDER = [resources.LISTENER, resources.CLUSTER, resources.LINES, resources.ROUTES]
+MOST_NAMES = 1024           # resource names that one client may ask for, by type
+MOST_UNANSWERED = 64        # responses remembered for their answer, by type
+
+
+class TooMany(ValueError):
+    """The client asks for more than a proxy has use for."""
+
+
+class Subscription:
+    def __init__(self):
+        self.names, self.nonce, self.version = [], "", 0
+        self.unanswered = deque(maxlen=MOST_UNANSWERED)  # (nonce, marks), oldest first
+        self.due, self.marks, self.stamp = False, [], None
+        self.sent = None        # the resources as last written, to write changes only
+        self.refused = False    # the client stands on an older version
+
+
+class Session:
+    """`render(type_url, names)` gives the messages by name; those it does not know are left out."""
+
+    def __init__(self, render, epoch):
+        self.render, self.epoch, self.count = render, epoch, 0
+        self.subscriptions = {}
+
+    def ask(self, request):
+        """Takes a DiscoveryRequest in. Answers (accepted, marks) or (refused, reason), None for neither."""
+        kind = request.type_url
+        if kind not in ORDER:
+            return None  # a type that we serve nothing of stays unanswered, as the specification has it
+        if len(request.resource_names) > MOST_NAMES:
+            raise TooMany(f"{len(request.resource_names)} resource names asked for, {MOST_NAMES} at most")
+        known = self.subscriptions.setdefault(kind, Subscription())
+        names = list(dict.fromkeys(request.resource_names))
+        stale = request.response_nonce and request.response_nonce != known.nonce
+        answer = self.answer(known, request) if request.response_nonce else None
+        if not stale and names != known.names:
+            new = [name for name in names if name not in known.names]
+            known.names = names
+            if new or not request.response_nonce:
+                known.due, known.sent = True, None
+        elif not request.response_nonce:
+            known.due, known.sent = True, None
+        return answer
+
+    def answer(self, known, request):
+        nonces = [nonce for nonce, _ in known.unanswered]
+        if request.response_nonce not in nonces:
+            return None
+        marks = []
+        while known.unanswered:
+            nonce, carried = known.unanswered.popleft()
+            marks += carried
+            if nonce == request.response_nonce:
+                break
+        known.refused = request.HasField("error_detail")
+        if known.refused:
+            known.sent = None  # what it holds is older: all of it is to be written again
+            return "refused", request.error_detail.message
+        return "accepted", marks
+
+    def due(self, kinds, marks=(), stamp=None):
+        """Notes that types are to be written anew. The marks are answered with the first that is asked for;
+        the stamp (ordered at, lines) goes into its nonce. What is not asked for yet is written when it is."""
+        for kind in kinds:
+            known = self.subscriptions.setdefault(kind, Subscription())
+            known.due = True
+            known.marks = [*known.marks, *marks][-MOST_UNANSWERED:]
+            known.stamp = known.stamp and stamp and (known.stamp[0], known.stamp[1] + stamp[1]) or stamp
+            marks, stamp = (), None
+
+    def next_response(self):
+        for kind in ORDER:
+            known = self.subscriptions.get(kind)
+            if known is None or not known.due or not known.names:
+                continue
+            known.due = False
+            made = self.render(kind, known.names)
+            if not made or (made == known.sent and not known.marks):
+                continue
+            changed = made
+            if kind in (resources.LINES, resources.ROUTES) and known.sent and not known.refused:
+                changed = {n: m for n, m in made.items() if known.sent.get(n) != m} or made
+            self.count += 1
+            known.version += 1
+            ordered_at, lines = known.stamp or (0, 0)
+            known.nonce = f"{self.epoch}.{self.count}.{ordered_at}.{lines}"
+            response = discovery_pb2.DiscoveryResponse(
+                version_info=f"{self.epoch}.{known.version}", type_url=kind, nonce=known.nonce)
+            for message in changed.values():
+                response.resources.add().Pack(message)
+            known.unanswered.append((known.nonce, known.marks))
+            known.sent, known.marks, known.stamp = made, [], None
+            return response
+        return None
