--- /dev/null
+++ b/foxstep/commands/drill.py
@@ -0,0 +1,69 @@
+"""`foxstep drill`: plays a bad day, judges it from the record, prints a table."""
+
+import os
+import shutil
+import sys
+import tempfile
+
+import anyio
+import click
+
+from foxstep.drills.audit import Audit
+from foxstep.drills.notation import read_day
+from foxstep.drills.player import Player
+from foxstep.drills.record import read
+from foxstep.site import read_site
+from foxstep.site.load import EXAMPLES
+
+GUARDS = {"1": "bare", "2": "twice", "3": "drain", "4": "cold", "5": "queue"}
+RULES = {1: "nobody bare", 2: "no effect twice", 3: "drains kept", 4: "no cold server pushed over",
+         5: "a short queue"}
+
+
+def play(name, seconds, folder, off, decider, seed):
+    day = read_day(name, seconds)
+    path = os.path.join(EXAMPLES, day.site)
+    site = read_site(path, **day.outside)
+    click.echo(f"{name}, {day.seconds:.0f} s, decisions by {decider}"
+               + (f", without the guard {', '.join(off)}" if off else ""))
+    anyio.run(Player(day, site, path, folder, off, decider, seed).run)
+    return Audit(read(folder), site.plain())
+
+
+def show(audit, other=None):
+    """The table of rules and service; answers whether all rules hold."""
+    held = True
+    for verdict in audit.verdicts():
+        held &= not verdict.breaks
+        click.echo(f"  rule {verdict.rule} {RULES[verdict.rule]:27} "
+                   f"{'BROKEN' if verdict.breaks else 'kept':7} {verdict.looked_at}")
+        for at, text in verdict.breaks[:3]:
+            click.echo(f"         {at - audit.begin:6.1f} s: {text}"
+                       + (f" (and {len(verdict.breaks) - 3} more)" if text == verdict.breaks[2:3] else ""))
+    service, base = audit.service(), other.service() if other else {}
+    stretches = sorted({part for _, part in service if part != "all"})
+    click.echo(f"  service{'':16}" + "".join(f"{f'{10 * p} s':>7}" for p in stretches) + f"{'all':>7}")
+    for op_type in sorted({kind for kind, _ in service}, key=lambda k: (k == "all", k)):
+        for label, figures in ((op_type, service), ("  even baseline", base)):
+            if figures:
+                row = "".join(f"{figures.get((op_type, p), 1.0):7.3f}" for p in [*stretches, "all"])
+                click.echo(f"    {label:19} {row}")
+    click.echo(f"  outcomes: {dict(audit.outcomes().most_common())}; refused tables: {len(audit.refusals())}")
+    return held
+
+
+def run(name, seconds, folder, break_rule, baseline, seed):
+    folder = folder or tempfile.mkdtemp(prefix="foxstep-drill-")
+    if os.path.isdir(folder):
+        shutil.rmtree(os.path.join(folder, "state"), ignore_errors=True)
+    off = [GUARDS[break_rule]] if break_rule else []
+    audit = play(name, seconds, folder, off, "balance", seed)
+    other = None
+    if baseline:
+        other = play(name, seconds, os.path.join(folder, "even"), [], "even", seed)
+        click.echo("the even baseline:")
+        show(other)
+        click.echo(f"{name}:")
+    held = show(audit, other)
+    click.echo(f"  record: {folder}")
+    sys.exit(0 if held else 1)
--- a/foxstep/commands/line.py
+++ b/foxstep/commands/line.py
@@ -1,12 +1,11 @@
 """The `foxstep` command and its subcommands' arguments; the work is in the files beside this one."""
 
 import re
-import sys
 
 import click
 
 from foxstep.commands import Refusing, logs
-from foxstep.site import Trouble, read_site
+from foxstep.site import read_site
 
 LOOPBACK = re.compile(r"(127\.\d+\.\d+\.\d+|\[::1\]|localhost):\d{1,5}")
 
@@ -31,12 +30,14 @@
 @click.option("--list", "list_address", callback=loopback, help="address of the list service (EDS)")
 @click.option("--state", type=click.Path(file_okay=False), help="folder for what outlives a restart")
 @click.option("--seed", type=int, default=1, help="of this controller's chance")
+@click.option("--decider", type=click.Choice(["balance", "even"]), default="balance",
+              help="even: a baseline, every open server to every proxy alike")
 @click.option("--off", multiple=True, type=click.Choice(["bare", "twice", "drain", "cold", "queue"]),
               help="switch a guard off, to see a drill fail")
-def serve(site, listen, list_address, state, seed, off):
+def serve(site, listen, list_address, state, seed, decider, off):
     """Run a controller of SITE until SIGTERM or ctrl-C."""
     from foxstep.commands.serve import run
-    run(read_site(site), listen, list_address, state, seed, off)
+    run(read_site(site), listen, list_address, state, seed, decider, off)
 
 
 @main.command()
@@ -56,9 +57,14 @@
     run(address, raw)
 
 
-def refuse(text):
-    raise Trouble(text)
-
-
-if __name__ == "__main__":
-    sys.exit(main())
+@main.command()
+@click.argument("name")
+@click.option("--seconds", type=click.FloatRange(5, 7200), help="scale the day to so many")
+@click.option("--record", "folder", type=click.Path(file_okay=False), help="where the record goes")
+@click.option("--break", "break_rule", type=click.Choice([*"12345"]), help="switch one rule's guard off")
+@click.option("--baseline", is_flag=True, help="play it with plain round robin too, side by side")
+@click.option("--seed", type=int, default=1)
+def drill(name, seconds, folder, break_rule, baseline, seed):
+    """Play the bad day NAME through the live program and judge the rules from its record."""
+    from foxstep.commands.drill import run
+    run(name, seconds, folder, break_rule, baseline, seed)
--- a/foxstep/commands/serve.py
+++ b/foxstep/commands/serve.py
@@ -7,6 +7,7 @@
 import grpc
 import structlog
 
+from foxstep.balance import Controller
 from foxstep.live.host import Host
 from foxstep.operate.service import OperatorService
 from foxstep.xds.front import MOST_REPORT, Front
@@ -35,10 +36,10 @@
             return
 
 
-async def serve(site, listen, list_address, state, seed, off=()):
+async def serve(site, listen, list_address, state, seed, make, off=()):
     """Runs a controller of `site` on `listen`; the log's `ready` event tells the address."""
     log = structlog.get_logger("foxstep")
-    host = Host(site.plain(), seed, clock, wall, state, off)
+    host = Host(site.plain(), seed, clock, wall, state, off, make)
     op_types = [{"name": o.name, "method": o.method} for o in site.op_types]
     front = Front(host, site.name, op_types)
     server = grpc.aio.server(options=OPTIONS)
@@ -63,5 +64,8 @@
         log.info("stopped", orders=host.orders, messages=host.channel.sent_messages)
 
 
-def run(site, listen, list_address, state, seed, off=()):
-    anyio.run(serve, site, listen, list_address, state, seed, tuple(off))
+def run(site, listen, list_address, state, seed, decider="balance", off=()):
+    make = Controller
+    if decider == "even":
+        from foxstep.drills.even import Even as make
+    anyio.run(serve, site, listen, list_address, state, seed, make, tuple(off))
--- /dev/null
+++ b/foxstep/drills/audit.py
@@ -0,0 +1,238 @@
+"""The auditor: judges the five rules and the service from the record alone.
+
+It shares no code with what it judges: it reads the rows that stand-ins and tap wrote, and the site's figures.
+"""
+
+from bisect import bisect_right
+from collections import Counter, defaultdict
+
+MICRO = 1e-6
+
+
+class Verdict:
+    """One rule: what breaks it, one line a break, and what was looked at."""
+
+    def __init__(self, rule, looked_at):
+        self.rule, self.looked_at, self.breaks = rule, looked_at, []
+
+    def broken(self, at, text):
+        self.breaks.append((at, text))
+
+
+class Audit:
+    """`rows` as drills.record.read gives them, `site` the plain map of the site file."""
+
+    def __init__(self, rows, site):
+        self.rows, self.site = rows, site
+        self.begin = next((r["t"] for r in rows["event"] if r["what"] == "the day begins"), 0.0)
+        self.end = next((r["t"] for r in rows["event"] if r["what"] == "the day ends"), self.begin)
+        self.once_only = {o["name"] for o in site["op_types"] if o["effect"] == "once-only"}
+        self.joins = self.spans()
+        self.lists = self.told_lists()
+
+    def spans(self):
+        """proxy -> (from, until) of its streams, the later one of two at a time counted."""
+        parted = {(r["proxy"], r["stream"]): r["t"] for r in self.rows["parted"]}
+        spans = defaultdict(list)
+        for row in self.rows["joined"]:
+            until = parted.get((row["proxy"], row["stream"]), self.end)
+            spans[row["proxy"]].append((row["t"], until, row["stream"]))
+        return spans
+
+    def told_lists(self):
+        """The lists that the service wrote to the controller: (time, {server: (state, began)}), in order."""
+        lists, version = [], None
+        for row in self.rows["told"]:
+            if (row["version"], row["controller"]) != version or row["t"] > lists[-1][0] + 0.2:
+                lists.append((row["t"], {}))
+                version = (row["version"], row["controller"])
+            lists[-1][1][row["server"]] = (row["state"], row["began"])
+        return lists
+
+    def joined_since(self, proxy, at):
+        """Since when the proxy is joined at a time, or None."""
+        return next((start for start, until, _ in self.joins[proxy] if start <= at <= until), None)
+
+    # -- rule 1
+
+    def nobody_bare(self):
+        verdict = Verdict(1, f"{len(self.rows['table'])} tables written, {len(self.rows['joined'])} streams")
+        ramp, limit = self.site["ramp"] * MICRO, self.site["bare"] * MICRO
+        warm = [(at, [s for s, (state, began) in told.items()
+                      if state == "open" and (not began or at - began >= ramp)]) for at, told in self.lists]
+        first_warm = next((at for at, servers in warm if servers), None)
+        if first_warm is None:
+            return verdict
+        standing = {r["proxy"]: bool(r["servers"]) for r in self.rows["standing"]}
+        tables = defaultdict(list)
+        for row in self.rows["table"]:
+            tables[row["proxy"], row["stream"]].append((row["t"], row["name"], bool(row["servers"])))
+        names = [o["name"] for o in self.site["op_types"]]
+        for proxy, spans in self.joins.items():
+            has = dict.fromkeys(names, standing.get(proxy, False))
+            for start, until, stream in spans:
+                since = {n: None if has[n] else max(start, first_warm) for n in names}
+                for at, name, lines in [*tables[proxy, stream], (until, None, True)]:
+                    for op_type in names:
+                        if name not in (None, op_type) and name in names:
+                            continue
+                        bare = since[op_type]
+                        if bare is not None and at - bare > limit and (lines or name is None):
+                            verdict.broken(bare, f"{proxy} had no line for {op_type} for {at - bare:.1f} s")
+                        if name is not None:
+                            has[op_type] = lines
+                            since[op_type] = None if lines else at if bare is None else bare
+        return verdict
+
+    # -- rule 2
+
+    def no_effect_twice(self):
+        effects = Counter((r["op"], r["op_type"]) for r in self.rows["effect"])
+        once = [(op, n) for (op, kind), n in effects.items() if kind in self.once_only]
+        verdict = Verdict(2, f"{len(once)} once-only ops with an effect")
+        for op, n in once:
+            if n > 1:
+                at = [r["t"] for r in self.rows["effect"] if r["op"] == op]
+                verdict.broken(at[1], f"{op} took effect {n} times")
+        turned = Counter(r["op"] for r in self.rows["turned"])
+        came = Counter(r["op"] for r in self.rows["received"] if r["op_type"] in self.once_only)
+        for op, n in came.items():
+            if n - turned[op] > 1:
+                verdict.broken(0.0, f"{op} was sent again after a try that might have run")
+        return verdict
+
+    # -- rule 3
+
+    def drains_kept(self):
+        grace = self.site["grace"] * MICRO
+        out, until = defaultdict(list), {}  # server -> [(told, back or None)]
+        for at, told in self.lists:
+            for server in {*told, *until}:
+                shut = told.get(server, ("gone", 0))[0] != "open"
+                if shut and until.get(server) is None:
+                    out[server].append([at, None])
+                    until[server] = at
+                elif not shut:
+                    if until.get(server) is not None:
+                        out[server][-1][1] = at
+                    until[server] = None
+        verdict = Verdict(3, f"{sum(map(len, out.values()))} drains and departures told")
+        for row in self.rows["received"]:
+            for told, back in out.get(row["server"], ()):
+                if told + grace < row["t"] and (back is None or row["t"] < back):
+                    since = self.joined_since(row["proxy"], row["t"])
+                    if since is not None and row["t"] > max(told, since) + grace:
+                        verdict.broken(row["t"], f"{row['proxy']} sent to {row['server']} "
+                                                 f"{row['t'] - told:.1f} s after it was told out")
+        return verdict
+
+    # -- rule 4
+
+    def cold_kept(self):
+        site = self.site
+        share, ramp = site["cold_share"], site["ramp"] * MICRO
+        span, multiple, grace = site["fall"] * MICRO, site["fall_multiple"], site["grace"] * MICRO
+        came, ends = defaultdict(list), defaultdict(list)
+        for row in self.rows["received"]:
+            came[row["server"]].append(row)
+        for row in self.rows["stopped"]:
+            ends[row["server"]].append(row["t"])
+        starts = [r for r in self.rows["started"] if r["cold"]]
+        verdict = Verdict(4, f"{len(starts)} cold starts")
+        wrote = defaultdict(list)
+        for row in self.rows["table"]:
+            wrote[row["proxy"]].append(row["t"])
+        for start in starts:
+            began, server = start["t"], start["server"]
+            end = min([t for t in ends[server] if t > began] + [began + ramp])
+            known = next((at for at, told in self.lists
+                          if abs(told.get(server, ("", 0))[1] - began) < 0.5 and at >= began), None)
+            window = []
+            for row in came[server]:
+                if not began <= row["t"] <= end:
+                    continue
+                window = [r for r in window if r["t"] > row["t"] - span] + [row]
+                warmth = share + (1 - share) * (row["t"] - began) / ramp
+                # A core does a second of work a second; chance gets the room of four ops.
+                room = multiple * warmth * start["cores"] * span
+                if sum(r["work"] for r in window) <= room + 4 * max(r["work"] for r in window):
+                    continue
+                knowing = sum(r["work"] for r in window if self.knew(r, known, wrote, grace))
+                if knowing >= sum(r["work"] for r in window) * 2 / 3:
+                    brought = sum(r["work"] for r in window)
+                    verdict.broken(row["t"], f"{server} got {brought:.1f} s of work in {span:.1f} s, "
+                                             f"{row['t'] - began:.1f} s after its start")
+                    break
+        return verdict
+
+    def knew(self, row, known, wrote, grace):
+        if known is None or row["t"] < known or self.joined_since(row["proxy"], row["t"]) is None:
+            return False
+        times = wrote[row["proxy"]]
+        last = bisect_right(times, row["t"])
+        return row["t"] > known + grace or (last > 0 and times[last - 1] >= known)
+
+    # -- rule 5
+
+    def queue_short(self):
+        """Each response's nonce says when it was ordered and how many lines the channel counted for it."""
+        changes, waits = [], 0
+        for row in self.rows["written"]:
+            _, _, ordered, lines = (int(part) for part in row["nonce"].split("."))
+            if ordered:
+                waits += 1
+                changes += [(ordered * MICRO, lines), (row["t"], -lines)]
+        verdict = Verdict(5, f"{waits} messages")
+        waiting = most = 0
+        for at, lines in sorted(changes):
+            waiting += lines
+            if waiting > most:
+                most = waiting
+                if waiting > self.site["backlog"]:
+                    verdict.broken(at, f"{waiting} lines wait, {self.site['backlog']:.0f} may")
+        verdict.looked_at += f", at most {most} lines waiting"
+        allowed, window = self.site["messages_most"], self.site["messages_window"] * MICRO
+        if allowed:
+            times = defaultdict(list)
+            for row in self.rows["written"]:
+                if row["kind"] == "ClusterLoadAssignment":
+                    times[row["proxy"], row["stream"]].append(row["t"])
+            for (proxy, _), written in times.items():
+                for k, at in enumerate(written):
+                    if k >= allowed and at - written[k - allowed] < window:
+                        verdict.broken(at, f"{proxy} got over {allowed} messages in {window:.0f} s")
+        return verdict
+
+    def verdicts(self):
+        """One a rule. A record that shows nothing to judge keeps no rule."""
+        made = [self.nobody_bare(), self.no_effect_twice(), self.drains_kept(), self.cold_kept(),
+                self.queue_short()]
+        for verdict in made:
+            if not (self.rows["table"] and self.rows["effect"] and self.rows["told"]):
+                verdict.broken(self.begin, "nothing to judge: no tables, no effects or no list crossed")
+        return made
+
+    # -- service
+
+    def service(self, stretch=10.0):
+        """{(op type or "all", stretch or "all"): earnings acked within target latency / earnings asked}."""
+        asked, earned = Counter(), Counter()
+        facts = {o["name"]: o for o in self.site["op_types"]}
+        for row in self.rows["op"]:
+            if not self.begin <= row["began"] <= self.end - 1.0:
+                continue
+            kind, part = facts[row["op_type"]], int((row["began"] - self.begin) // stretch)
+            within = row["outcome"] == "acked" and row["took"] <= kind["target_latency"] * MICRO
+            late = row["outcome"] == "acked" and not within
+            got = kind["earnings"] * (within + late * kind.get("late_part", 0.0))
+            for key in ((row["op_type"], part), (row["op_type"], "all"), ("all", part), ("all", "all")):
+                asked[key] += kind["earnings"]
+                earned[key] += got
+        return {key: earned[key] / asked[key] for key in asked}
+
+    def outcomes(self):
+        return Counter(row["outcome"].split(":")[0] for row in self.rows["op"]
+                       if self.begin <= row["began"] <= self.end)
+
+    def refusals(self):
+        return [row for row in self.rows["answer"] if row["refusal"]]
--- /dev/null
+++ b/foxstep/drills/even.py
@@ -0,0 +1,32 @@
+"""The baseline of the drills: every open server of the list to every proxy, all alike. Nothing else."""
+
+
+class Even:
+    """A decision module by `foxstep/interface.py` that does no more than plain round robin over the list."""
+
+    def __init__(self, now, site, seed):
+        self.site, self.servers, self.proxies, self.orders = site, {}, {}, [("watch", True)]
+        self.capacity, self.caps, self.failed = None, [None] * len(site["op_types"]), False
+
+    def listed(self, now, how, lines):
+        if how == "failed":
+            self.orders.append(("watch", True))
+            return
+        named = {line[0]: line[4] for line in lines}
+        if how != "changes":
+            named = {**{s: "gone" for s in self.servers}, **named}
+        for server, state in named.items():
+            weight = 1 if state == "open" else 0
+            if self.servers.get(server, 0) != weight:
+                self.servers[server] = weight
+                self.orders.append(("weigh", 0, server, weight))
+
+    def joined(self, now, ident, zone, rate, fresh):
+        self.orders.append(("bind", ident, 0, 0))
+
+    def next_order(self, now):
+        return self.orders.pop(0) if self.orders else None
+
+    def ignored(self, *_): ...
+
+    woken = probed = told = left = heard = used = applied = ignored
--- /dev/null
+++ b/foxstep/drills/player.py
@@ -0,0 +1,329 @@
+"""Plays a day: stand-in servers, list service, tap and proxies here; controller and stock clients beside."""
+
+import json
+import os
+import random
+import socket
+import subprocess
+import sys
+import time
+from contextlib import suppress
+
+import anyio
+import click
+
+from foxstep.drills.record import Record
+from foxstep.standins.lists import ListService
+from foxstep.standins.proxy import Proxy
+from foxstep.standins.server import Server
+from foxstep.standins.tap import Tap
+
+clock = time.monotonic
+SETTLE = 3.0        # seconds that controller and clients get before the day begins
+STOP_WITHIN = 2.0
+
+
+def free_port():
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        return taken.getsockname()[1]
+
+
+class Player:
+    """One playing of a day. `decider` names the decisions: "balance", or "even" for the baseline."""
+
+    def __init__(self, day, site, site_path, folder, off=(), decider="balance", seed=1, say=click.echo):
+        self.day, self.site, self.site_path, self.folder = day, site.plain(), site_path, folder
+        self.site_name, self.off, self.decider, self.say = site.name, off, decider, say
+        self.chance, self.seed = random.Random(seed), seed
+        self.record = Record(clock)
+        rules = site.rules
+        self.cold = (rules.cold_share, rules.ramp / 1e6, rules.fall_multiple, rules.fall / 1e6)
+        self.zones, self.kind = [*site.zones], (site.kinds or [""])[0]
+        self.servers, self.turn, self.made = [], 0, 0
+        self.proxies, self.stocks, self.factor, self.hot = [], {}, 1.0, {}
+        self.port = free_port()
+        self.controller, self.log = None, None
+
+    # -- the cast
+
+    async def new_server(self, zone, cold=True):
+        self.made += 1
+        work = dict.fromkeys((o["name"] for o in self.site["op_types"]), self.day.work)
+        server = Server(f"s{self.made}", zone, self.day.cores, work, self.cold, self.record, clock,
+                        self.seed * 1000 + self.made, self.day.queue)
+        await server.start(cold)
+        self.servers.append(server)
+        return server
+
+    def list_open(self, server, at_once=False):
+        self.lists.set(server.ident, server.zone, self.kind, "open", server.started, at_once)
+
+    def start_controller(self):
+        command = [sys.executable, "-m", "foxstep", "--log", "json", "--level",
+                   os.environ.get("FOXSTEP_DRILL_LEVEL", "info"), "serve", self.site_path,
+                   "--listen", f"127.0.0.1:{self.port}", "--list", f"127.0.0.1:{self.lists.port}",
+                   "--state", os.path.join(self.folder, "state"), "--seed", str(self.seed),
+                   "--decider", self.decider]
+        for guard in self.off:
+            command += ["--off", guard]
+        self.controller = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
+                                           stderr=self.log)
+
+    def stock_orders(self, k):
+        return {"controller": f"127.0.0.1:{self.tap.port}", "node": f"stock-{k}",
+                "zone": self.zones[k % len(self.zones)], "rate": self.day.stock_rate,
+                "seed": self.seed * 100 + k, "mix": self.day.mix, "target": self.site_name,
+                "service": "foxstep.Ops", "seconds": self.day.seconds + SETTLE + 60,
+                "timeouts": {o["name"]: o["op_timeout"] / 1e6 for o in self.site["op_types"]}}
+
+    async def stock(self, k):
+        """One stock client, a process of its own; its ops' ends come as lines."""
+        orders = self.stock_orders(k)
+        with open(os.path.join(self.folder, f"stock-{k}.log"), "w") as errors:
+            process = await anyio.open_process([sys.executable, "-m", "foxstep.standins.stock"],
+                                               stderr=errors)
+            self.stocks[orders["node"]] = process
+            try:
+                await process.stdin.send(json.dumps(orders).encode() + b"\n")
+                rest = b""
+                async for chunk in process.stdout:
+                    *lines, rest = (rest + chunk).split(b"\n")
+                    for line in lines:
+                        end = json.loads(line)
+                        outcome = "rejected" if "EDS-drop" in end["outcome"] or "dropped" in end["outcome"] \
+                            else end["outcome"]
+                        self.record("op", proxy=orders["node"], op=end["op"], op_type=end["op_type"],
+                                    began=end["t"], outcome=outcome, took=end["took"], tries=-1, again="")
+            finally:
+                with suppress(ProcessLookupError):
+                    process.kill()
+                with anyio.CancelScope(shield=True):
+                    await process.wait()
+
+    async def tell_rates(self):
+        for ident, process in self.stocks.items():
+            rate = self.day.stock_rate * self.factor * self.hot.get(ident, 1.0)
+            with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+                await process.stdin.send(json.dumps({"rate": rate}).encode() + b"\n")
+
+    def rate_now(self, proxy):
+        return self.day.proxy_rate * self.factor * self.hot.get(proxy.ident, 1.0)
+
+    def some(self, n):
+        """The next servers in turn that are up and open."""
+        listed = {ident for ident, (_, _, state, _) in self.lists.entries.items() if state == "open"}
+        up = [s for s in self.servers if s.state == "up" and not s.silent and s.ident in listed]
+        n = min(int(n), len(up))
+        picked = [up[(self.turn + k * max(1, len(up) // max(n, 1))) % len(up)] for k in range(n)]
+        self.turn += 1
+        return list(dict.fromkeys(picked))
+
+    def clients(self, n):
+        everyone = [*(p.ident for p in self.proxies), *self.stocks]
+        step = max(1, len(everyone) // max(int(n), 1))
+        return everyone[::step][:int(n)]
+
+    # -- the day
+
+    async def run(self):
+        """Plays it through and writes the record."""
+        os.makedirs(self.folder, exist_ok=True)
+        self.lists = ListService(self.record, clock, self.day.lag)
+        self.tap = Tap(self.record, f"127.0.0.1:{self.port}")
+        await self.lists.start()
+        await self.tap.start()
+        for k in range(self.day.servers):
+            self.list_open(await self.new_server(self.zones[k % len(self.zones)], cold=False), at_once=True)
+        self.log = open(os.path.join(self.folder, "controller.log"), "ab")
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.lists.run)
+                self.start_controller()
+                await anyio.sleep(SETTLE / 2)
+                await self.start_clients(group)
+                await anyio.sleep(SETTLE)
+                self.began = clock()
+                self.record("event", what="the day begins")
+                for at, verb, words in self.day.events:
+                    await anyio.sleep(max(0.0, self.began + at - clock()))
+                    told = " ".join(f"{w:g}" if isinstance(w, float) else w for w in words)
+                    self.record("event", what=f"{verb} {told}")
+                    self.say(f"  {at:6.1f} s  {verb} {told}")
+                    group.start_soon(getattr(self, f"do_{verb}"), *words)
+                await anyio.sleep(max(0.0, self.began + self.day.seconds - clock()))
+                self.record("event", what="the day ends")
+                group.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.stop()
+        self.record.write(self.folder)
+
+    async def start_clients(self, group):
+        for k in range(self.day.proxies):
+            zone = self.zones[k % len(self.zones)]
+            near = [s.ident for s in self.servers if s.zone == zone]
+            standing = self.chance.sample(near, min(self.site["standing"], len(near)))
+            proxy = Proxy(f"proxy-{k}", zone, self.day.proxy_rate, self.site, self.site_name,
+                          f"127.0.0.1:{self.tap.port}", standing, self.record, clock, self.seed * 10_000 + k)
+            self.proxies.append(proxy)
+            self.record("standing", proxy=proxy.ident, servers=standing)
+            group.start_soon(proxy.run)
+            group.start_soon(proxy.drive, self.day.mix, self.rate_now)
+        for k in range(self.day.stock):
+            group.start_soon(self.stock, k)
+
+    async def stop(self):
+        if self.controller:
+            self.controller.terminate()
+            with anyio.move_on_after(STOP_WITHIN):
+                while self.controller.poll() is None:
+                    await anyio.sleep(0.05)
+            if self.controller.poll() is None:
+                self.controller.kill()
+                self.controller.wait()
+        self.log.close()
+        with anyio.move_on_after(STOP_WITHIN):
+            for proxy in self.proxies:
+                for channel in proxy.channels.values():
+                    await channel.close()
+            for server in [self.lists.server, self.tap.server, *(s.server for s in self.servers)]:
+                await server.stop(None)
+            await self.tap.upstream.close()
+
+    # -- what happens
+
+    async def do_burst(self, factor, seconds):
+        self.factor = factor
+        await self.tell_rates()
+        await anyio.sleep(seconds)
+        self.factor = 1.0
+        await self.tell_rates()
+
+    async def do_hot(self, factor, seconds):
+        ident = self.clients(1)[0]
+        self.hot[ident] = factor
+        await self.tell_rates()
+        await anyio.sleep(seconds)
+        del self.hot[ident]
+        await self.tell_rates()
+
+    async def come_back(self, server):
+        await server.start()
+        self.list_open(server)
+
+    async def do_crash(self, n, seconds):
+        struck = self.some(n)
+        for server in struck:
+            await server.crash()
+            self.lists.set(server.ident, server.zone, self.kind, "gone")
+        await anyio.sleep(seconds)
+        for server in struck:
+            await self.come_back(server)
+
+    async def do_silence(self, n, seconds):
+        struck = self.some(n)
+        for server in struck:
+            server.silent = anyio.Event()
+        await anyio.sleep(seconds)
+        for server in struck:
+            await server.crash()
+            await self.come_back(server)
+
+    async def do_drain(self, n, seconds):
+        struck = self.some(n)
+        for server in struck:
+            self.lists.set(server.ident, server.zone, self.kind, "draining")
+        await anyio.sleep(seconds)
+        for server in struck:
+            await server.crash()
+            self.lists.set(server.ident, server.zone, self.kind, "gone")
+        await anyio.sleep(1)
+        for server in struck:
+            await self.come_back(server)
+
+    async def do_deploy(self, n, batch, seconds):
+        waiting = self.some(n)
+        while waiting:
+            now, waiting = waiting[:int(batch)], waiting[int(batch):]
+            for server in now:
+                self.lists.set(server.ident, server.zone, self.kind, "draining")
+            successors = [await self.new_server(server.zone) for server in now]
+            for server in successors:
+                self.list_open(server)
+            await anyio.sleep(seconds)
+            for server in now:
+                await server.crash()
+                self.lists.set(server.ident, server.zone, self.kind, "gone")
+
+    async def do_lag(self, lag, seconds):
+        usual, self.lists.lag = self.lists.lag, lag
+        await anyio.sleep(seconds)
+        self.lists.lag = usual
+
+    async def do_slow(self, factor, seconds):
+        struck = list(self.servers)
+        for server in struck:
+            server.slower = factor
+        await anyio.sleep(seconds)
+        for server in struck:
+            server.slower = 1.0
+
+    async def do_cut(self, n, seconds):
+        struck = self.clients(n)
+        for ident in struck:
+            self.tap.cut_off(ident)
+        await anyio.sleep(seconds)
+        self.tap.cut -= set(struck)
+
+    async def do_rejoin(self, n):
+        for ident in self.clients(n):
+            for lost in self.tap.lost.get(ident, ()):
+                lost.set()
+
+    async def do_kill(self, seconds):
+        self.controller.kill()
+        self.controller.wait()
+        await anyio.sleep(seconds)
+        self.start_controller()
+
+    async def do_fail(self, op_type, part, n, seconds):
+        struck = self.some(n)
+        for server in struck:
+            server.failing[op_type] = part
+        await anyio.sleep(seconds)
+        for server in struck:
+            server.failing.pop(op_type, None)
+
+    async def do_refuse(self, n, seconds):
+        struck = self.some(n)
+        for server in struck:
+            await server.crash()
+        await anyio.sleep(seconds)
+        for server in struck:
+            await server.start(cold=False)
+
+    async def do_list(self, seconds):
+        self.lists.broken = True
+        self.lists.changed.set()
+        self.lists.changed = anyio.Event()
+        await anyio.sleep(seconds)
+        self.lists.broken = False
+
+    async def do_late(self, late, seconds):
+        struck = self.clients(10_000)
+        self.tap.late.update(dict.fromkeys(struck, late))
+        await anyio.sleep(seconds)
+        self.tap.late.clear()
+
+    async def strike(self, those, n, seconds):
+        struck = set(self.clients(n))
+        those |= struck
+        await anyio.sleep(seconds)
+        those -= struck
+
+    async def do_mute(self, n, seconds):
+        await self.strike(self.tap.mute, n, seconds)
+
+    async def do_poison(self, n, seconds):
+        await self.strike(self.tap.poison, n, seconds)
--- a/foxstep/live/book.py
+++ b/foxstep/live/book.py
@@ -2,7 +2,8 @@
 
 The module speaks of tables, bindings, withdrawals and levels (`foxstep/interface.py`); a proxy has one
 `Holding`, changed only by `Message`s as they leave the channel. A message's lines are counted as the
-operators count them: a changed line, a level, a withdrawal and a mark are a line each, a whole table one more.
+operators count them: a changed line, a level, a withdrawal and a mark are a line each, a whole table one
+more.
 """
 
 EVERYONE = None  # the table of the levels that hold for all joined proxies
--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -2,7 +2,7 @@
 
 Fronts call the inputs below from the event loop and hand over an outlet for each stream, whose
 `deliver(holding, message)` must not wait: it notes that the proxy is to be written. Nothing here knows a
-wire, and nothing is decided here: what the module orders goes to the channel, what the channel lets go is written.
+wire, and nothing is decided here: what the module orders goes to the channel, what that lets go is written.
 """
 
 import heapq
--- a/foxstep/live/remembered.py
+++ b/foxstep/live/remembered.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-
 Line = tuple[str, str, str, int, str, float, int]  # interface.Listed
 
 
--- /dev/null
+++ b/foxstep/site/examples/morning.jsonnet
@@ -0,0 +1,18 @@
+// A fleet of some twenty servers at work that fills them: what the long drills run.
+// `retries` (0 to 3) and `most` (messages to one proxy in 10 s) can be set from outside.
+local fleet = import 'fleet.libsonnet';
+{
+  name: 'morning',
+  zone: 'east',
+  zones: ['east', 'west'],
+  kinds: ['plain'],
+  op_types: [
+    fleet.op('look-up', 'retryable', 1, '1s', '3s'),
+    fleet.op('note-down', 'deduplicated', 2, '1s', '3s', '3s'),
+    fleet.op('pay-out', 'once-only', 5, '1s', '3s'),
+  ],
+  proxies: { count: 20, standing: 5, usual_tries: 1, level: 'rate', fails_to_shun: 3 },
+  channel: fleet.channel(900, 1.5),
+  reports: { cycle: '500ms', intake_per_s: 400, fields: ['busy', 'waiting'], by: 'answers', probes: true },
+  rules: fleet.rules { ramp: '12s' },
+}
--- a/foxstep/site/load.py
+++ b/foxstep/site/load.py
@@ -1,12 +1,15 @@
 """Reads a site file: Jsonnet with its functions and imports, then checked into types."""
 
 import json
+import os
 
 import _jsonnet
 import msgspec
 
 from foxstep.site.types import Site, Time
 
+EXAMPLES = os.path.join(os.path.dirname(__file__), "examples")
+
 
 class Trouble(Exception):
     """One line for the operator: file, path and what was expected."""
--- a/foxstep/standins/server.py
+++ b/foxstep/standins/server.py
@@ -112,6 +112,7 @@
         if self.chance.random() < self.failing.get(op_type, 0.0):
             await context.abort(grpc.StatusCode.INTERNAL, "failing")
         if self.waiting >= self.queue:
+            self.record("turned", server=self.ident, op=facts["id"])
             await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "full")
         began = self.clock()
         self.waiting += 1
--- /dev/null
+++ b/foxstep/standins/tap.py
@@ -0,0 +1,154 @@
+"""A tap between proxies and a controller: relays their gRPC streams, records each message, can cut them.
+
+It parses the public messages itself and shares no code with the controller.
+"""
+
+import anyio
+import grpc
+from envoy.config.endpoint.v3 import endpoint_pb2
+from envoy.config.route.v3 import route_pb2
+from envoy.service.discovery.v3 import discovery_pb2
+from envoy.service.load_stats.v3 import lrs_pb2
+from envoy.service.rate_limit_quota.v3 import rlqs_pb2
+
+ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources"
+LRS = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
+RLQS = "/envoy.service.rate_limit_quota.v3.RateLimitQuotaService/StreamRateLimitQuotas"
+AHEAD = 64  # messages that a stream may be ahead of its reader
+
+
+class Tap(grpc.GenericRpcHandler):
+    """Every stream to `target` goes here. `cut` proxies reach nothing; `late` proxies' reports wait."""
+
+    def __init__(self, record, target):
+        self.record, self.target = record, target
+        self.cut, self.late, self.mute, self.poison = set(), {}, set(), set()
+        self.server, self.port, self.upstream, self.streams = None, 0, None, 0
+        self.why = ""  # the last stream's break
+        self.lost = {}  # proxy -> events that end its streams
+
+    async def start(self):
+        self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
+        self.server.add_generic_rpc_handlers((self,))
+        self.port = self.server.add_insecure_port("127.0.0.1:0")
+        await self.server.start()
+        self.upstream = grpc.aio.insecure_channel(self.target, options=[
+            ("grpc.initial_reconnect_backoff_ms", 200), ("grpc.max_reconnect_backoff_ms", 500)])
+
+    def cut_off(self, proxy):
+        self.cut.add(proxy)
+        for event in self.lost.get(proxy, ()):
+            event.set()
+
+    def service(self, details):
+        if details.method not in (ADS, LRS, RLQS):
+            return None
+
+        async def handle(requests, context):
+            await self.relay(details.method, requests, context)
+        return grpc.stream_stream_rpc_method_handler(handle)
+
+    async def relay(self, method, requests, context):
+        requests = aiter(requests)
+        first = await anext(requests, None)
+        if first is None:
+            return
+        proxy = self.name_of(method, first)
+        if proxy in self.cut:
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "cut off")
+        self.streams += 1
+        stream, lost = self.streams, anyio.Event()
+        self.lost.setdefault(proxy, []).append(lost)
+        call = self.upstream.stream_stream(method)()
+        if method == ADS:
+            self.record("joined", proxy=proxy, stream=stream)
+
+        async def up(scope):
+            request = first
+            while request is not None:
+                if method == ADS:
+                    request = self.note_request(proxy, stream, request)
+                elif method == LRS:
+                    self.record("report", proxy=proxy, size=len(request),
+                                lines=len(lrs_pb2.LoadStatsRequest.FromString(request).cluster_stats))
+                if method != ADS and proxy in self.late:
+                    await anyio.sleep(self.late[proxy])
+                if request:
+                    await call.write(request)
+                request = await anext(requests, None)
+            await call.done_writing()
+            scope.cancel()
+
+        async def down(scope):
+            while (answer := await call.read()) is not grpc.aio.EOF:
+                self.note_answer(method, proxy, stream, answer)
+                await context.write(answer)
+            scope.cancel()
+
+        async def listen(scope):
+            await lost.wait()
+            scope.cancel()
+
+        try:
+            async with anyio.create_task_group() as group:
+                for task in (up, down, listen):
+                    group.start_soon(task, group.cancel_scope)
+        except* (grpc.RpcError, grpc.aio.UsageError, grpc.aio.InternalError) as broken:
+            self.why = repr(broken.exceptions[0])
+        finally:
+            call.cancel()
+            self.lost[proxy].remove(lost)
+            if method == ADS:
+                self.record("parted", proxy=proxy, stream=stream)
+        await context.abort(grpc.StatusCode.UNAVAILABLE, "the stream broke")
+
+    def name_of(self, method, first):
+        if method == ADS:
+            return discovery_pb2.DiscoveryRequest.FromString(first).node.id
+        if method == LRS:
+            return lrs_pb2.LoadStatsRequest.FromString(first).node.id
+        report = rlqs_pb2.RateLimitQuotaUsageReports.FromString(first)
+        return next((u.bucket_id.bucket.get("proxy", "") for u in report.bucket_quota_usages), "")
+
+    def note_request(self, proxy, stream, data):
+        """Records an answer to a response. A muted proxy's never arrives, a poisoned one's is a refusal."""
+        request = discovery_pb2.DiscoveryRequest.FromString(data)
+        if not request.response_nonce:
+            return data
+        if proxy in self.mute:
+            return b""
+        if proxy in self.poison:
+            request.error_detail.message, request.version_info = "refused on purpose", ""
+            data = request.SerializeToString()
+        self.record("answer", proxy=proxy, stream=stream, kind=request.type_url.rpartition(".")[2],
+                    nonce=request.response_nonce, refusal=request.error_detail.message)
+        return data
+
+    def note_answer(self, method, proxy, stream, data):
+        if method == RLQS:
+            for action in rlqs_pb2.RateLimitQuotaResponse.FromString(data).bucket_action:
+                strategy = action.quota_assignment_action.rate_limit_strategy
+                fill = strategy.token_bucket.fill_interval
+                every = fill.seconds + fill.nanos / 1e9
+                self.record("quota", proxy=proxy, op_type=action.bucket_id.bucket.get("op_type", ""),
+                            rate=1 / every if every else -1.0, blanket=strategy.blanket_rule)
+            return
+        if method != ADS:
+            return
+        response = discovery_pb2.DiscoveryResponse.FromString(data)
+        kind = response.type_url.rpartition(".")[2]
+        self.record("written", proxy=proxy, stream=stream, kind=kind, nonce=response.nonce,
+                    version=response.version_info, size=len(data))
+        for resource in response.resources:
+            table, tries = endpoint_pb2.ClusterLoadAssignment(), route_pb2.RouteConfiguration()
+            if resource.Unpack(table):
+                dropped = sum(d.drop_percentage.numerator for d in table.policy.drop_overloads)
+                self.record("table", proxy=proxy, stream=stream, nonce=response.nonce,
+                            name=table.cluster_name, servers=[e.locality.sub_zone for e in table.endpoints],
+                            weights=[float(e.load_balancing_weight.value) for e in table.endpoints],
+                            dropped=float(dropped))
+            elif resource.Unpack(tries):
+                for route in tries.virtual_hosts[0].routes:
+                    self.record("way", proxy=proxy, op_type=route.name,
+                                retry_on=route.route.retry_policy.retry_on,
+                                retries=route.route.retry_policy.num_retries.value)
--- a/foxstep/xds/session.py
+++ b/foxstep/xds/session.py
@@ -89,7 +89,10 @@
                 continue
             known.due = False
             made = self.render(kind, known.names)
-            if not made or (made == known.sent and not known.marks):
+            if not made:
+                continue  # nothing to say yet: the marks and the stamp go with what is said first
+            if made == known.sent and not known.marks:
+                known.stamp = None
                 continue
             changed = made
             if kind in (resources.LINES, resources.ROUTES) and known.sent and not known.refused:
