--- a/foxstep/commands/line.py
+++ b/foxstep/commands/line.py
@@ -57,6 +57,15 @@
     run(address, raw)
 
 
+@main.command()
+@click.argument("address", callback=loopback)
+@click.option("--cluster", default="servers", help="the name that the list service knows the fleet by")
+def servers(address, cluster):
+    """Print the list of servers as the list service at ADDRESS tells it."""
+    from foxstep.commands.servers import run
+    run(address, cluster)
+
+
 @main.command()
 @click.argument("name")
 @click.option("--seconds", type=click.FloatRange(5, 7200), help="scale the day to so many")
--- a/foxstep/commands/serve.py
+++ b/foxstep/commands/serve.py
@@ -40,7 +40,8 @@
     """Runs a controller of `site` on `listen`; the log's `ready` event tells the address."""
     log = structlog.get_logger("foxstep")
     host = Host(site.plain(), seed, clock, wall, state, off, make)
-    op_types = [{"name": o.name, "method": o.method} for o in site.op_types]
+    op_types = [{"name": o.name, "method": o.method,
+                 "try_wait": round(site.proxies.try_aims * o.target_latency)} for o in site.op_types]
     front = Front(host, site.name, op_types)
     server = grpc.aio.server(options=OPTIONS)
     front.add_to(server)
--- /dev/null
+++ b/foxstep/commands/servers.py
@@ -0,0 +1,38 @@
+"""`foxstep servers`: the list of servers as a list service tells it now."""
+
+import time
+
+import anyio
+import click
+import grpc
+from envoy.service.discovery.v3 import discovery_pb2
+from envoy.service.endpoint.v3 import eds_pb2_grpc
+
+from foxstep.site import Trouble
+from foxstep.xds import resources
+from foxstep.xds.listing import Unsound, read_list
+
+
+async def fetch(address, cluster, within=5.0):
+    """Lines as `interface.Listed`, starts in wall-clock microseconds."""
+    async with grpc.aio.insecure_channel(address) as channel:
+        call = eds_pb2_grpc.EndpointDiscoveryServiceStub(channel).StreamEndpoints(timeout=within)
+        await call.write(discovery_pb2.DiscoveryRequest(
+            node=resources.node("foxstep-servers", ""), resource_names=[cluster], type_url=resources.LINES))
+        response = await call.read()
+        call.cancel()
+        if response is grpc.aio.EOF:
+            raise Unsound("the service ended the stream without a word")
+        return read_list(response, cluster, 0)
+
+
+def run(address, cluster):
+    try:
+        lines = anyio.run(fetch, address, cluster)
+    except grpc.RpcError as error:
+        raise Trouble(f"{address}: no list service answers there: {error.details()}") from None
+    except Unsound as error:
+        raise Trouble(f"{address}: {error}") from None
+    for ident, zone, kind, _, state, size, started in sorted(lines):
+        age = f"up {time.time() - started / 1e6:.0f} s" if started else "up for long"
+        click.echo(f"{ident:24} {zone:12} {kind:12} {state:10} size {size:g}  {age}")
--- a/foxstep/live/book.py
+++ b/foxstep/live/book.py
@@ -104,21 +104,27 @@
         self.holdings = {}       # proxy -> Holding, as written
         self.bound = {}          # proxy -> table by place, as ordered
         self.batch = {}          # proxy -> Message of the batch under way
+        self.out = {}            # proxy -> servers that it is ordered to hold withdrawn
+        self.untold = {}         # proxies that were ordered nothing since they joined, as a set in order
 
     def join(self, proxy):
         """A stream is up: it holds none of our tables, whatever it may still hold of others."""
         self.holdings[proxy] = Holding(self.places)
-        self.bound[proxy] = [None] * self.places
+        self.bound[proxy], self.out[proxy], self.untold[proxy] = [None] * self.places, {}, None
         self.batch.pop(proxy, None)
 
     def leave(self, proxy):
-        for known in (self.holdings, self.bound, self.batch):
+        for known in (self.holdings, self.bound, self.batch, self.out, self.untold):
             known.pop(proxy, None)
 
     def message(self, proxy, now):
         if proxy not in self.batch:
             self.batch[proxy] = Message(proxy, now, self.head)
-        return self.batch[proxy]
+        message = self.batch[proxy]
+        if proxy in self.untold:  # levels for everyone ride along with the first that a joiner is told
+            del self.untold[proxy]
+            message.levels.update(((EVERYONE, k), v) for k, v in self.levels.get(EVERYONE, {}).items())
+        return message
 
     def users(self, table):
         return [p for p, tables in self.bound.items() if table in tables]
@@ -133,7 +139,10 @@
         else:
             lines.pop(server, None)
         for proxy in self.users(table):
-            self.message(proxy, now).lines[table, server] = weight
+            message = self.message(proxy, now)
+            message.lines[table, server] = weight
+            if weight and server in self.shut and server not in self.out[proxy]:
+                message.shut[server] = self.out[proxy][server] = True
 
     def empty(self, now, table):
         self.lines.pop(table, None)
@@ -159,8 +168,11 @@
         else:
             self.shut.pop(server, None)
         for proxy, tables in self.bound.items():
-            if any(server in self.lines.get(table, {}) for table in tables if table is not None):
-                self.message(proxy, now).shut[server] = out
+            holds = any(server in self.lines.get(table, {}) for table in tables if table is not None)
+            if out and holds:
+                self.message(proxy, now).shut[server] = self.out[proxy][server] = True
+            elif not out and self.out[proxy].pop(server, False):
+                self.message(proxy, now).shut[server] = False
 
     def bind(self, now, proxy, table, mask):
         """Puts a joined proxy on a table: all that it is then to hold goes out anew."""
@@ -182,6 +194,8 @@
             message.levels.update(((table, k), level) for k, level in self.levels.get(table, {}).items()
                                   if tables[k] == table)
             message.shut.update((s, True) for s in self.shut if s in self.lines.get(table, {}))
+        self.out[proxy] = dict(message.shut)
+        self.untold.pop(proxy, None)
         message.levels.update(((EVERYONE, k), level) for k, level in self.levels.get(EVERYONE, {}).items())
         return message
 
--- a/foxstep/live/channel.py
+++ b/foxstep/live/channel.py
@@ -24,15 +24,18 @@
 
     def drop(self, proxy):
         """The proxy's stream broke (or is a new one): what waited for it is lost, its count starts anew."""
-        message = self.queue.pop(proxy, None)
-        if message:
-            self.waiting -= message.cost
+        for key in [key for key, message in self.queue.items() if message.proxy == proxy]:
+            self.waiting -= self.queue.pop(key).cost
         self.owed.pop(proxy, None)
         self.written.pop(proxy, None)
 
     def offer(self, now, message):
         """Takes a message in, folded into the one that waits for the same proxy, if any."""
         proxy = message.proxy
+        if not self.bounded:
+            self.queue[proxy, len(self.queue), now] = message
+            self.waiting += message.cost
+            return
         standing = self.queue.get(proxy)
         if proxy in self.owed:
             self.owed[proxy].fold(message)
--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -51,12 +51,14 @@
         self.wall_offset = wall() - now
         self.remembered = Remembered(directory)
         self.epoch = self.remembered.next_epoch(wall())
-        self.controller = make(now, site, seed)
+        # Without its guard the queue is no matter: the module is told that the channel takes all at once.
+        told = {**site, "backlog": 1e9, "lines_per_s": 1e9} if "queue" in self.off else site
+        self.controller = make(now, told, seed)
         self.places = len(site["op_types"])
         self.effects = [o["effect"] for o in site["op_types"]]
         self.names = [o["name"] for o in site["op_types"]]
         self.book = Book(self.places, int(site["head"]))
-        pace = site["lines_per_s"] / (50 if "queue" in self.off else 1)
+        pace = site["lines_per_s"] / (4 if "queue" in self.off else 1)
         self.channel = Channel(pace, site["backlog"], site["messages_most"], site["messages_window"],
                                bounded="queue" not in self.off)
         self.listed_lines = {}                     # server -> its line, as last told
@@ -64,7 +66,7 @@
         self.repairs = Repairs(2 * site["cycle"])
         self.joins = {}                            # ident -> Joined
         self.timers, self.turns = [], count()
-        self.next_round = now + site["cycle"]
+        self.next_round, self.room_at = now + site["cycle"], None
         self.stirred = anyio.Event()
         self.because, self.orders = [], 0
         self.notes, self.lag = "", 0.0
@@ -217,6 +219,8 @@
         """Writes what the channel lets go by now."""
         while (message := self.channel.take(now)) is not None:
             joined = self.joins.get(message.proxy)
+            # What the module put off for want of room it may order now: it is asked again soon.
+            self.room_at = self.room_at or now + self.site["cycle"] // 10
             if joined is None:
                 continue
             if "drain" in self.off and not message.whole:
@@ -242,13 +246,16 @@
             joined = self.joins[ident]
             self.controller.joined(now, ident, joined.zone, joined.rate, False)
             self.stir(f"repair {ident}")
+        if self.room_at and now >= self.room_at:
+            self.room_at = None
+            self.stir("room")
         if self.because:
             self.carry_out(now)
         self.send_due(now)
         return now
 
     def next_at(self, now):
-        times = [self.next_round, self.channel.next_at(now), self.repairs.next_at()]
+        times = [self.next_round, self.room_at, self.channel.next_at(now), self.repairs.next_at()]
         times += [self.timers[0][0]] if self.timers else []
         return min(t for t in times if t is not None)
 
--- /dev/null
+++ b/foxstep/site/examples/short.jsonnet
@@ -0,0 +1,7 @@
+// The morning's fleet on a channel that takes little, with cold servers that bear little.
+local fleet = import 'fleet.libsonnet';
+(import 'morning.jsonnet') + {
+  name: 'short',
+  channel: fleet.channel(300, 0.8),
+  rules+: { fall_multiple: 1.5 },
+}
--- a/foxstep/standins/tap.py
+++ b/foxstep/standins/tap.py
@@ -3,6 +3,8 @@
 It parses the public messages itself and shares no code with the controller.
 """
 
+import asyncio
+
 import anyio
 import grpc
 from envoy.config.endpoint.v3 import endpoint_pb2
@@ -14,7 +16,7 @@
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources"
 LRS = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
 RLQS = "/envoy.service.rate_limit_quota.v3.RateLimitQuotaService/StreamRateLimitQuotas"
-AHEAD = 64  # messages that a stream may be ahead of its reader
+BROKEN = (grpc.RpcError, grpc.aio.UsageError, grpc.aio.InternalError, asyncio.InvalidStateError)
 
 
 class Tap(grpc.GenericRpcHandler):
@@ -93,7 +95,7 @@
             async with anyio.create_task_group() as group:
                 for task in (up, down, listen):
                     group.start_soon(task, group.cancel_scope)
-        except* (grpc.RpcError, grpc.aio.UsageError, grpc.aio.InternalError) as broken:
+        except* BROKEN as broken:
             self.why = repr(broken.exceptions[0])
         finally:
             call.cancel()
--- a/foxstep/xds/front.py
+++ b/foxstep/xds/front.py
@@ -1,5 +1,7 @@
 """The gRPC front: aggregated discovery, load reporting and quotas on one port, for one host."""
 
+import asyncio
+
 import anyio
 import grpc
 import structlog
@@ -161,7 +163,7 @@
 
 class Front(ads_pb2_grpc.AggregatedDiscoveryServiceServicer, lrs_pb2_grpc.LoadReportingServiceServicer,
             rlqs_pb2_grpc.RateLimitQuotaServiceServicer):
-    """`op_types`: plain maps with `name` and, where the site states it, the gRPC `method`."""
+    """`op_types`: plain maps with `name` and, where stated, the gRPC `method` and `try_wait`."""
 
     def __init__(self, host, site_name, op_types):
         self.host, self.site, self.site_name, self.op_types = host, host.site, site_name, op_types
@@ -207,7 +209,7 @@
             reason = f"took nothing for {WRITE_WITHIN:.0f} s"
         except* TooMany as many:
             reason = str(many.exceptions[0])
-        except* (grpc.aio.UsageError, grpc.aio.InternalError, grpc.RpcError):
+        except* (grpc.aio.UsageError, grpc.aio.InternalError, grpc.RpcError, asyncio.InvalidStateError):
             reason = "broken"
         return reason
 
--- a/foxstep/xds/listing.py
+++ b/foxstep/xds/listing.py
@@ -3,6 +3,8 @@
 Each endpoint's health says open or draining; metadata under `foxstep` gives kind, cell, size and start.
 """
 
+import asyncio
+
 import anyio
 import grpc
 import structlog
@@ -86,7 +88,7 @@
                 self.wanted = anyio.Event()
                 try:
                     reason = await self.follow(channel)
-                except (grpc.RpcError, Unsound, TimeoutError) as error:
+                except (grpc.RpcError, asyncio.InvalidStateError, Unsound, TimeoutError) as error:
                     told = error.details() if isinstance(error, grpc.RpcError) else str(error)
                     reason = told or "no answer"
                 self.log.warning("list failed", reason=reason)
--- a/foxstep/xds/probes.py
+++ b/foxstep/xds/probes.py
@@ -1,5 +1,7 @@
 """Probes: one out-of-band load report asked of a server (ORCA, xds.service.orca.v3.OpenRcaService)."""
 
+import asyncio
+
 import anyio
 import grpc
 from xds.data.orca.v3 import orca_load_report_pb2
@@ -67,6 +69,8 @@
             load = load_of(report) if outcome == "acked" else None
         except grpc.RpcError as error:
             outcome = OUTCOMES.get(error.code(), "aborted")
+        except asyncio.InvalidStateError:
+            outcome = "broken"
         finally:
             limit.release()
         line = self.host.listed_lines.get(server)
--- a/foxstep/xds/resources.py
+++ b/foxstep/xds/resources.py
@@ -43,7 +43,8 @@
 
 
 def routes(site_name, op_types, tries_of):
-    """A route for each op type; `tries_of(place)` is its way of trying again (0 to 3)."""
+    """A route for each op type; `tries_of(place)` is its way of trying again (0 to 3). A try that may be
+    followed after any failure waits the op type's `try_wait` (microseconds), where that is stated."""
     made = route_pb2.RouteConfiguration(name=site_name)
     host = made.virtual_hosts.add(name=site_name, domains=["*"])
     for place, op_type in enumerate(op_types):
@@ -57,6 +58,8 @@
         if again:
             route.route.retry_policy.retry_on = again[0]
             route.route.retry_policy.num_retries.value = again[1]
+            if again[0] is ANY_FAILURE and op_type.get("try_wait"):
+                route.route.retry_policy.per_try_timeout.FromMicroseconds(op_type["try_wait"])
     return made
 
 
--- /dev/null
+++ b/tests/live.py
@@ -0,0 +1,105 @@
+"""A controller in this process on real sockets, and a bare discovery client to try it with."""
+
+import time
+from contextlib import asynccontextmanager
+
+import anyio
+import grpc
+from envoy.config.endpoint.v3 import endpoint_pb2
+from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
+from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
+
+from foxstep.live.host import Host
+from foxstep.site import read_site
+from foxstep.site.load import EXAMPLES
+from foxstep.xds import resources
+from foxstep.xds.front import QUOTAS, Front
+
+SITE = f"{EXAMPLES}/loopback.jsonnet"
+
+
+def clock():
+    return time.monotonic_ns() // 1000
+
+
+def open_lines(*servers, state="open"):
+    return [(s, "east", "plain", 0, state, 1.0, 0) for s in servers]
+
+
+SERVERS = [f"127.0.0.1:{7000 + k}" for k in range(6)]
+
+
+@asynccontextmanager
+async def controller(port=0, directory=None, **changes):
+    """(host, address) of a running controller; `changes` go over the example site's settings."""
+    site = read_site(SITE)
+    host = Host({**site.plain(), "list_asked": False, "probes": False, **changes}, 1, clock,
+                lambda: time.time_ns() // 1000, directory)
+    front = Front(host, site.name, [{"name": o.name, "method": ""} for o in site.op_types])
+    server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
+    front.add_to(server)
+    port = server.add_insecure_port(f"127.0.0.1:{port}")
+    await server.start()
+    host.front = front
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(host.run)
+            yield host, f"127.0.0.1:{port}"
+            group.cancel_scope.cancel()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await server.stop(0)
+
+
+class Client:
+    """A bare ADS client that does only what a test tells it."""
+
+    def __init__(self, channel, ident, zone="east", quotas=True):
+        self.node, self.channel = resources.node(ident, zone), channel
+        if quotas:
+            self.node.client_features.append(QUOTAS)
+        self.name = resources.EVERY if quotas else "look-up"
+        self.call = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel).StreamAggregatedResources()
+
+    async def ask(self, kind=resources.LINES, names=None, **fields):
+        await self.call.write(discovery_pb2.DiscoveryRequest(
+            node=self.node, type_url=kind, resource_names=names or [self.name], **fields))
+
+    async def response(self, within=3.0):
+        with anyio.fail_after(within):
+            return await self.call.read()
+
+    async def table(self, within=3.0):
+        """(response, server -> weight) of the next assignment."""
+        while True:
+            response = await self.response(within)
+            assert response is not grpc.aio.EOF, "the stream has ended"
+            if response.type_url == resources.LINES:
+                made = endpoint_pb2.ClusterLoadAssignment()
+                response.resources[0].Unpack(made)
+                return response, {e.locality.sub_zone: e.load_balancing_weight.value for e in made.endpoints}
+
+    async def accept(self, response):
+        await self.ask(response.type_url, version_info=response.version_info, response_nonce=response.nonce)
+
+    async def refuse(self, response, why):
+        request = discovery_pb2.DiscoveryRequest(type_url=response.type_url, resource_names=[self.name],
+                                                 response_nonce=response.nonce)
+        request.error_detail.message = why
+        await self.call.write(request)
+
+    async def report(self, *stats):
+        """Sends load reports on a stream of their own, and waits until they were read."""
+        call = lrs_pb2_grpc.LoadReportingServiceStub(self.channel).StreamLoadStats()
+        await call.write(lrs_pb2.LoadStatsRequest(node=self.node))
+        await call.read()
+        await call.write(lrs_pb2.LoadStatsRequest(node=self.node, cluster_stats=stats))
+        await call.done_writing()
+        await call.read()
+
+
+async def until(true, within=3.0):
+    """Waits for what has to come true; fails where it does not."""
+    with anyio.fail_after(within):
+        while not true():
+            await anyio.sleep(0.01)
--- /dev/null
+++ b/tests/test_channel.py
@@ -0,0 +1,113 @@
+"""The channel and the book: limits hold and nothing that was ordered is lost, in whatever order it comes."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from foxstep.live.book import Book
+from foxstep.live.channel import Channel
+
+HEAD, PLACES = 3, 2
+PROXIES, TABLES, SERVERS = ["p", "q", "r"], ["t", "u"], ["a", "b", "c", "d"]
+
+orders = st.one_of(
+    st.tuples(st.just("weigh"), st.sampled_from(TABLES), st.sampled_from(SERVERS),
+              st.sampled_from([0, 0.5, 1, 2])),
+    st.tuples(st.just("bind"), st.sampled_from(PROXIES), st.sampled_from(TABLES), st.integers(0, 3)),
+    st.tuples(st.just("admit"), st.sampled_from([*TABLES, None]), st.integers(0, 3),
+              st.sampled_from([0.2, 5.0]), st.integers(0, 2)),
+    st.tuples(st.just("withdraw"), st.sampled_from(SERVERS), st.booleans()),
+    st.tuples(st.just("empty"), st.sampled_from(TABLES)),
+    st.tuples(st.just("mark"), st.integers(0, 9), st.booleans()),
+    st.tuples(st.just("join"), st.sampled_from(PROXIES)),
+    st.tuples(st.just("leave"), st.sampled_from(PROXIES)),
+    st.tuples(st.just("pause"), st.integers(0, 400_000)),
+    st.tuples(st.just("batch")),
+)
+
+
+def ordered(book, proxy, place):
+    """What the orders come to for a proxy, straight from the book's tables."""
+    table = book.bound[proxy][place]
+    if table is None:
+        return None
+    return {s: w for s, w in book.lines.get(table, {}).items() if s not in book.shut}
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(orders, max_size=60), st.integers(12, 60), st.sampled_from([0, 2]))
+def test_limits_hold_and_all_that_was_ordered_arrives(steps, backlog, messages_most):
+    window = 1_000_000
+    book, channel, now = Book(PLACES, HEAD), Channel(100, backlog, messages_most, window), 5_000_000
+    written = {}
+
+    def send():
+        while (message := channel.take(now)) is not None:
+            book.holdings[message.proxy].apply(message)
+            times = written.setdefault(message.proxy, [])
+            times.append(now)
+            recent = [t for t in times if t > now - window]
+            assert not messages_most or len(recent) <= messages_most
+
+    def close():
+        for message in book.close_batch():
+            channel.offer(now, message)
+            assert channel.lines_waiting(now) <= backlog
+            assert channel.waiting == sum(m.cost for m in channel.queue.values())
+
+    for verb, *args in steps:
+        if verb == "join" and args[0] not in book.bound:
+            book.join(args[0])
+        elif verb == "leave":
+            channel.drop(args[0])
+            book.leave(args[0])
+            written.pop(args[0], None)
+        elif verb == "pause":
+            now += args[0]
+        elif verb == "batch":
+            close()
+        elif verb not in ("join", "leave"):
+            getattr(book, verb)(now, *args)
+        if verb in ("pause", "batch"):
+            send()
+    close()
+    for _ in range(400):  # every wait ends: the backlog takes each message on its own
+        now += 100_000
+        send()
+    assert not channel.queue or max(m.cost for m in channel.queue.values()) > backlog
+    assert all(m.cost > backlog for m in channel.owed.values()), "owed although there is room"
+    for proxy, holding in book.holdings.items():
+        if proxy not in channel.owed:
+            for place in range(PLACES):
+                held, want = holding.lines_of(place), ordered(book, proxy, place)
+                assert (held or {}) == (want or {}) and (held is None) == (want is None)
+                if proxy not in book.untold:
+                    assert holding.level_of(place) == expected_level(book, proxy, place)
+
+
+def expected_level(book, proxy, place):
+    own = book.levels.get(book.bound[proxy][place], {}).get(place)
+    common = book.levels.get(None, {}).get(place)
+    if own is None or common is None:
+        return own or common
+    return min(own[0], common[0]), own[1]
+
+
+def test_the_channel_sends_at_its_pace_and_one_proxys_messages_are_one():
+    book, channel = Book(1, 4), Channel(lines_per_s=100, backlog=1000)
+    for proxy in "pq":
+        book.join(proxy)
+        book.bind(0, proxy, proxy, 0)
+        for server in "abcdef":
+            book.weigh(0, proxy, server, 1)
+    for message in book.close_batch():
+        channel.offer(0, message)
+    assert channel.waiting == 2 * (4 + 1 + 6)
+    assert channel.take(0).proxy == "p" and channel.take(0) is None
+    book.weigh(0, "q", "a", 0)
+    book.weigh(0, "q", "b", 2)
+    for message in book.close_batch():
+        channel.offer(0, message)
+    assert channel.waiting == 11 and channel.next_at(0) == 110_000
+    assert channel.take(109_999) is None
+    last = channel.take(110_000)
+    assert last.whole and last.lines["q", "a"] == 0 and last.lines["q", "b"] == 2
--- /dev/null
+++ b/tests/test_drills.py
@@ -0,0 +1,38 @@
+"""The short bad morning through the live program: every rule holds, and each guard that is off shows."""
+
+import subprocess
+import sys
+
+import pytest
+
+DRILL = [sys.executable, "-m", "foxstep", "drill", "short-morning", "--record"]
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory):
+    """rule broken on purpose ("0": none) -> (exit code, rules found broken, output), played side by side."""
+    runs = {}
+    for rule in "012345":
+        folder = str(tmp_path_factory.mktemp(f"rule-{rule}"))
+        command = [*DRILL, folder, *(["--break", rule] if rule != "0" else [])]
+        runs[rule] = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+    found = {}
+    for rule, process in runs.items():
+        output = process.communicate(timeout=150)[0]
+        broken = {line.split()[1] for line in output.splitlines() if line.strip().startswith("rule")
+                  and "BROKEN" in line}
+        found[rule] = process.returncode, broken, output
+    return found
+
+
+def test_every_rule_holds_and_ops_were_served(played):
+    code, broken, output = played["0"]
+    assert (code, broken) == (0, set()), output
+    acked = int(output.partition("'acked': ")[2].partition(",")[0].strip("}"))
+    assert acked > 300, output
+
+
+@pytest.mark.parametrize("rule", [*"12345"])
+def test_without_its_guard_the_drill_fails_on_the_rule(played, rule):
+    code, broken, output = played[rule]
+    assert code == 1 and rule in broken, output
--- /dev/null
+++ b/tests/test_live.py
@@ -0,0 +1,221 @@
+"""Hard cases of the live controller, over real sockets."""
+
+import subprocess
+import sys
+
+import anyio
+import grpc
+import pytest
+from envoy.config.endpoint.v3 import load_report_pb2
+from live import SERVERS, Client, controller, open_lines, until
+
+from foxstep.xds import resources
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def test_a_refused_table_stands_and_a_whole_one_follows():
+    async with controller() as (host, address), grpc.aio.insecure_channel(address) as channel:
+        host.listed("whole", open_lines(*SERVERS[:3]))
+        client = Client(channel, "p")
+        await client.ask()
+        response, held = await client.table()
+        assert set(held) == set(SERVERS[:3])
+        await client.refuse(response, "no room")
+        again, held = await client.table()
+        assert again.nonce != response.nonce and set(held) == set(SERVERS[:3])
+        assert host.joins["p"].refused == 1 and host.joins["p"].last_refusal == "no room"
+        await client.accept(again)
+        await until(lambda: host.joins["p"].accepted == 1)
+        assert not host.repairs.refusals
+
+
+async def test_refusals_in_a_row_are_repaired_ever_more_rarely():
+    async with controller(cycle=50_000) as (host, address), grpc.aio.insecure_channel(address) as channel:
+        host.listed("whole", open_lines(*SERVERS[:2]))
+        client = Client(channel, "p")
+        await client.ask()
+        waits = []
+        for _ in range(4):
+            response, _ = await client.table()
+            await client.refuse(response, "never")
+            await until(lambda: host.repairs.due)
+            waits.append(host.repairs.due["p"] - host.clock())
+        assert all(later > 1.5 * sooner for sooner, later in zip(waits, waits[1:], strict=False))
+
+
+async def test_a_client_that_never_answers_still_gets_its_drains():
+    async with controller() as (host, address), grpc.aio.insecure_channel(address) as channel:
+        host.listed("whole", open_lines(*SERVERS[:4]))
+        client = Client(channel, "p")
+        await client.ask()
+        await client.table()
+        host.listed("changes", open_lines(SERVERS[0], state="draining"))
+        _, held = await client.table()
+        assert set(held) == set(SERVERS[1:4])
+        assert host.joins["p"].accepted == 0
+
+
+async def test_joining_twice_ends_the_older_stream_and_serves_the_newer():
+    async with controller() as (host, address), grpc.aio.insecure_channel(address) as channel:
+        host.listed("whole", open_lines(*SERVERS[:3]))
+        older, newer = Client(channel, "p"), Client(channel, "p")
+        await older.ask()
+        await older.table()
+        await newer.ask()
+        _, held = await newer.table()
+        assert set(held) == set(SERVERS[:3])
+        with pytest.raises(grpc.RpcError) as ended:
+            await older.response()
+        assert ended.value.code() == grpc.StatusCode.ABORTED and "newer stream" in ended.value.details()
+        host.listed("changes", open_lines(SERVERS[0], state="draining"))
+        _, held = await newer.table()
+        assert set(held) == set(SERVERS[1:3]) and set(host.joins) == {"p"}
+
+
+async def test_a_stream_that_dies_before_its_answer_leaves_no_half_state():
+    async with controller() as (host, address), grpc.aio.insecure_channel(address) as channel:
+        host.listed("whole", open_lines(*SERVERS[:3]))
+        client = Client(channel, "p")
+        await client.ask()
+        await client.table()
+        client.call.cancel()
+        await until(lambda: not host.joins)
+        assert not host.book.holdings and not host.book.bound and not host.channel.queue
+        host.listed("changes", open_lines(SERVERS[2], state="draining"))
+        client = Client(channel, "p")
+        await client.ask()
+        _, held = await client.table()
+        assert set(held) == set(SERVERS[:2])
+
+
+async def test_two_hundred_join_within_a_second_and_the_queue_stays_short():
+    async with controller(backlog=300.0, lines_per_s=3000.0, proxies=200) as (host, address):
+        host.listed("whole", open_lines(*SERVERS))
+        async with grpc.aio.insecure_channel(address) as channel:
+            clients = [Client(channel, f"p{k}") for k in range(200)]
+            tables = {}
+
+            async def one(client, k):
+                await client.ask()
+                tables[k] = (await client.table(10.0))[1]
+
+            async with anyio.create_task_group() as group:
+                for k, client in enumerate(clients):
+                    group.start_soon(one, client, k)
+            assert len(tables) == 200 and all(tables.values())
+            assert 0 < host.channel.most_waiting <= 300
+
+
+async def test_a_stalled_reader_delays_nobody_and_its_queue_is_bounded():
+    many = [f"127.0.0.1:{8000 + k}" for k in range(60)]
+    narrow = [("grpc.http2.bdp_probe", 0), ("grpc.use_local_subchannel_pool", 1)]
+    async with (controller(standing=50, backlog=4000.0, lines_per_s=20_000.0) as (host, address),
+                grpc.aio.insecure_channel(address, options=narrow) as one,
+                grpc.aio.insecure_channel(address, options=narrow) as two):
+        host.listed("whole", open_lines(*many))
+        stalled, other = Client(one, "stalled"), Client(two, "other")
+        for client in (stalled, other):
+            await client.ask()
+            _, held = await client.table()
+        back, known = many[-1], host.front.streams["stalled"].session.subscriptions[resources.LINES]
+        for turn in range(120):  # more than the stalled one's window takes: its writer then waits
+            out = sorted(held)[turn % len(held)]
+            host.listed("changes", [*open_lines(out, state="draining"), *open_lines(back)])
+            while out in held:
+                _, held = await other.table()
+            back = out
+        assert known.version < host.joins["stalled"].delivered - 20, "it was never stalled"
+        assert known.due and len(known.marks) <= 64 and len(known.unanswered) <= 64
+        assert len(host.channel.queue) <= 2 and not host.channel.owed
+
+
+async def test_after_a_restart_the_remembered_list_serves_and_the_epoch_grows(tmp_path):
+    async with controller(directory=str(tmp_path)) as (host, address):
+        host.listed("whole", open_lines(*SERVERS[:3]))
+        first = host.epoch
+    async with controller(directory=str(tmp_path)) as (host, address):
+        async with grpc.aio.insecure_channel(address) as channel:
+            client = Client(channel, "p")
+            await client.ask(version_info=f"{first}.7")
+            response, held = await client.table()
+            assert set(held) == set(SERVERS[:3]) and host.epoch == first + 1
+            assert response.version_info.startswith(f"{first + 1}.")
+
+
+async def test_a_torn_remembered_list_is_no_list(tmp_path):
+    async with controller(directory=str(tmp_path)) as (host, _):
+        host.listed("whole", open_lines(*SERVERS[:3]))
+    kept = tmp_path / "servers.msgpack"
+    kept.write_bytes(kept.read_bytes()[:-5])
+    async with controller(directory=str(tmp_path)) as (host, _):
+        assert host.listed_lines == {}
+
+
+def stats(name="look-up", seconds=1, **locality):
+    made = load_report_pb2.ClusterStats(cluster_name=name)
+    made.load_report_interval.seconds = seconds
+    if locality:
+        server = locality.pop("server", SERVERS[0])
+        made.upstream_locality_stats.add(**locality).locality.sub_zone = server
+    return made
+
+
+@pytest.mark.parametrize("bad,reason", [
+    (stats(seconds=-1, total_successful_requests=3), "window"),
+    (stats(seconds=10**6, total_successful_requests=3), "window"),
+    (stats(total_successful_requests=2**63), "count"),
+    (stats(server="127.0.0.1:9", total_successful_requests=3), "server"),
+    (stats(name="no-such-op", total_successful_requests=3), "op type"),
+])
+async def test_an_unsound_report_is_refused_and_the_sound_one_beside_it_counts(bad, reason):
+    async with controller(cycle=60_000_000) as (host, address), grpc.aio.insecure_channel(address) as channel:
+        host.listed("whole", open_lines(*SERVERS[:2]))
+        client = Client(channel, "p", quotas=False)
+        await client.ask()
+        await client.table()
+        await client.report(bad, stats(total_successful_requests=5, total_issued_requests=5,
+                                       server=SERVERS[1]))
+        assert host.intake.refused[reason] >= 1
+        assert host.intake.met[SERVERS[1], "east"][:2] == [5, 0]
+        assert host.intake.came["p", "look-up"][0] >= 5
+
+
+async def test_too_many_resource_names_end_the_stream_with_one_line():
+    async with controller() as (host, address), grpc.aio.insecure_channel(address) as channel:
+        host.listed("whole", open_lines(*SERVERS[:2]))
+        client = Client(channel, "p")
+        await client.ask(names=[f"n{k}" for k in range(3000)])
+        with pytest.raises(grpc.RpcError) as ended:
+            await client.response()
+        assert "3000 resource names" in ended.value.details()
+        await until(lambda: not host.joins)
+
+
+async def test_a_share_level_reaches_a_stock_client_as_drops():
+    async with controller(level="share") as (host, address), grpc.aio.insecure_channel(address) as channel:
+        host.listed("whole", open_lines(*SERVERS[:2]))
+        client = Client(channel, "p", quotas=False)
+        await client.ask()
+        await client.table()
+        now = host.clock()
+        host.book.admit(now, "p", 1, 0.25, 0)
+        for message in host.book.close_batch():
+            host.channel.offer(now, message)
+        host.stir("test")
+        response, held = await client.table()
+        made = resources.endpoint_pb2.ClusterLoadAssignment()
+        response.resources[0].Unpack(made)
+        assert made.policy.drop_overloads[0].drop_percentage.numerator == 750_000
+        assert set(held) == set(SERVERS[:2])
+
+
+def test_the_bench_adapter_imports_none_of_the_programs_libraries():
+    heavy = "{'grpc', 'anyio', 'google', 'structlog', 'msgspec', 'click', 'envoy', 'xds', 'pyarrow'}"
+    code = f"import sys, foxstep.simhost.host; sys.exit(bool({heavy} & set(sys.modules)))"
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
