--- a/foxstep/commands/line.py
+++ b/foxstep/commands/line.py
@@ -16,6 +16,13 @@
     return value
 
 
+def pairs(ctx, param, values):
+    for value in values:
+        if "=" not in value:
+            raise click.BadParameter(f"expected NAME=VALUE, got {value!r}")
+    return dict(value.split("=", 1) for value in values)
+
+
 @click.group(cls=Refusing)
 @click.option("--log", "form", type=click.Choice(["json", "people"]), default="people", help="its form")
 @click.option("--level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
@@ -32,12 +39,15 @@
 @click.option("--seed", type=int, default=1, help="of this controller's chance")
 @click.option("--decider", type=click.Choice(["balance", "even"]), default="balance",
               help="even: a baseline, every open server to every proxy alike")
+@click.option("--outside", multiple=True, callback=pairs, metavar="NAME=VALUE",
+              help="a value for the site file's std.extVar")
+@click.option("--tell", is_flag=True, help="print the address on standard output, once ready")
 @click.option("--off", multiple=True, type=click.Choice(["bare", "twice", "drain", "cold", "queue"]),
               help="switch a guard off, to see a drill fail")
-def serve(site, listen, list_address, state, seed, decider, off):
+def serve(site, listen, list_address, state, seed, decider, outside, tell, off):
     """Run a controller of SITE until SIGTERM or ctrl-C."""
     from foxstep.commands.serve import run
-    run(read_site(site), listen, list_address, state, seed, decider, off)
+    run(read_site(site, **outside), listen, list_address, state, seed, decider, tell, off)
 
 
 @main.command()
@@ -77,3 +87,13 @@
     """Play the bad day NAME through the live program and judge the rules from its record."""
     from foxstep.commands.drill import run
     run(name, seconds, folder, break_rule, baseline, seed)
+
+
+@main.command()
+@click.option("--sizes", default="10,120,400", help="numbers of proxies, set apart by commas")
+@click.option("--servers", type=click.IntRange(2, 2000), default=110)
+@click.option("--seconds", type=click.FloatRange(2, 600), default=15, help="of orders, at each size")
+def measure(sizes, servers, seconds):
+    """Measure a controller at several sizes: order to acceptance, CPU, memory, report intake."""
+    from foxstep.measure.fleet import run
+    run([int(size) for size in sizes.split(",")], servers, seconds)
--- a/foxstep/commands/serve.py
+++ b/foxstep/commands/serve.py
@@ -36,7 +36,7 @@
             return
 
 
-async def serve(site, listen, list_address, state, seed, make, off=()):
+async def serve(site, listen, list_address, state, seed, make, tell, off=()):
     """Runs a controller of `site` on `listen`; the log's `ready` event tells the address."""
     log = structlog.get_logger("foxstep")
     host = Host(site.plain(), seed, clock, wall, state, off, make)
@@ -49,6 +49,8 @@
     port = server.add_insecure_port(listen)
     prober = Prober(host)
     await server.start()
+    if tell:
+        print(f"{listen.rpartition(':')[0]}:{port}", flush=True)
     log.info("ready", address=f"{listen.rpartition(':')[0]}:{port}", site=site.name, epoch=host.epoch,
              me=site.controllers.me)
     try:
@@ -65,8 +67,8 @@
         log.info("stopped", orders=host.orders, messages=host.channel.sent_messages)
 
 
-def run(site, listen, list_address, state, seed, decider="balance", off=()):
+def run(site, listen, list_address, state, seed, decider="balance", tell=False, off=()):
     make = Controller
     if decider == "even":
         from foxstep.drills.even import Even as make
-    anyio.run(serve, site, listen, list_address, state, seed, make, tuple(off))
+    anyio.run(serve, site, listen, list_address, state, seed, make, tell, tuple(off))
--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -11,6 +11,7 @@
 
 import anyio
 import structlog
+from hdrh.histogram import HdrHistogram
 
 from foxstep.balance import Controller
 from foxstep.live.book import Book, Holding, Message
@@ -69,7 +70,8 @@
         self.next_round, self.room_at = now + site["cycle"], None
         self.stirred = anyio.Event()
         self.because, self.orders = [], 0
-        self.notes, self.lag = "", 0.0
+        self.notes, self.lag = "", 0               # the longest that the loop was late since last looked at
+        self.to_answer = HdrHistogram(1, 600 * SECOND, 3)  # from order to acceptance, microseconds
         self.probe = self.watch = self.fetch = lambda *_: None
         self.unanswered = {}                       # (ident, number) -> when it was ordered
         lines = self.remembered.read()
@@ -131,14 +133,17 @@
         self.log.info("left", proxy=ident, reason=reason)
         self.stir(f"left {ident}")
 
-    def applied(self, ident, outlet, marks):
-        """A proxy has accepted a delivered message (and all before it) that carried these marks."""
+    def applied(self, ident, outlet, marks, ordered=()):
+        """A proxy has accepted a delivered message (and all before it) that carried these marks; `ordered`
+        are the times at which what it accepts was ordered."""
         joined = self.joins.get(ident)
         if joined is None or joined.outlet is not outlet:
             return
         joined.accepted += 1
         self.repairs.accepted(ident)
         now = self.clock()
+        for at in ordered:
+            self.to_answer.record_value(max(now - at, 1))
         for number, ordered_at in marks:
             self.controller.applied(now, ident, number, now - ordered_at)
         if marks:
@@ -205,7 +210,7 @@
         for message in messages:
             self.channel.offer(now, message)
         if messages:
-            self.log.debug("orders", because=self.because, messages=len(messages),
+            self.log.info("orders", because=self.because, messages=len(messages),
                            lines=sum(m.cost for m in messages), waiting=self.channel.lines_waiting(now))
             for message in messages:
                 self.log.debug("ordered", proxy=message.proxy, whole=message.whole,
@@ -238,7 +243,7 @@
             self.controller.woken(now, mark)
             self.stir(f"woken {mark}")
         if now >= self.next_round:
-            self.lag = max(self.lag * 0.9, (now - self.next_round) / SECOND)
+            self.lag = max(self.lag, now - self.next_round)
             self.next_round = max(self.next_round + self.site["cycle"], now + self.site["cycle"] // 2)
             if self.intake.round(self.controller, now):
                 self.stir("reports")
@@ -274,6 +279,7 @@
     def view(self):
         """Plain values for `foxstep inspect`: what each proxy holds, C, caps, the channel."""
         now, module = self.clock(), self.controller
+        lag, self.lag = self.lag, 0
         proxies = {}
         for ident, joined in self.joins.items():
             holding = self.book.holdings[ident]
@@ -290,4 +296,9 @@
                             "most_waiting": self.channel.most_waiting, "owed": len(self.channel.owed),
                             "sent_lines": self.channel.sent_lines,
                             "sent_messages": self.channel.sent_messages},
-                "intake_refused": dict(self.intake.refused), "lag_s": round(self.lag, 4)}
+                "intake_refused": dict(self.intake.refused), "lag_ms": lag / 1000,
+                "reports_taken": self.intake.taken,
+                "order_to_answer_ms": {
+                    "count": self.to_answer.get_total_count(),
+                    **{f"p{p:g}": self.to_answer.get_value_at_percentile(p) / 1000
+                       for p in (50, 99, 99.9, 100)}}}
--- a/foxstep/live/intake.py
+++ b/foxstep/live/intake.py
@@ -14,7 +14,7 @@
         self.share = max(1, round(lines_per_s * cycle / 1_000_000))
         self.known_server = known_server
         self.met, self.came = {}, {}   # (server, zone) and (proxy, op type) -> sums, oldest first
-        self.refused = {}              # reason -> lines that were not taken
+        self.taken, self.refused = 0, {}  # lines that were; reason -> lines that were not taken
 
     def refuse(self, reason):
         self.refused[reason] = self.refused.get(reason, 0) + 1
@@ -31,6 +31,7 @@
     def tried(self, server, zone, tries, aborted, latency, window, load=None):
         """Tries of one proxy at a server; `latency` is the mean of the acked ones in microseconds, or None
         where that is not known: then it is left out of the mean, not taken as zero."""
+        self.taken += 1
         if not self.known_server(server):
             return self.refuse("server")
         if not self.sound((tries, aborted), window):
@@ -49,6 +50,7 @@
         return None
 
     def used(self, proxy, op_type, ops, unanswered, window):
+        self.taken += 1
         if self.sound((ops, unanswered), window):
             sums = self.came.setdefault((proxy, op_type), [0, 0, 0])
             for k, amount in enumerate((ops, unanswered, window)):
--- a/foxstep/xds/front.py
+++ b/foxstep/xds/front.py
@@ -1,6 +1,7 @@
 """The gRPC front: aggregated discovery, load reporting and quotas on one port, for one host."""
 
 import asyncio
+from contextlib import suppress
 
 import anyio
 import grpc
@@ -12,6 +13,7 @@
 
 from foxstep.xds import loads, resources
 from foxstep.xds.session import Session, TooMany
+from foxstep.xds.waits import within
 
 SECOND = 1_000_000
 FIRST_WORD = 10.0          # seconds within which a new stream has to say who it is
@@ -111,8 +113,7 @@
         """Writes responses as they become due, until the stream is ended."""
         while not self.ended:
             while (response := self.session.next_response()) is not None:
-                with anyio.fail_after(WRITE_WITHIN):
-                    await context.write(response)
+                await within(WRITE_WITHIN, context.write(response))
             with anyio.move_on_after(WRITE_WITHIN):
                 await self.stirred.wait()
             self.stirred = anyio.Event()
@@ -154,8 +155,7 @@
     async def write_all(self, context):
         while True:
             while self.ident and (response := self.response()) is not None:
-                with anyio.fail_after(WRITE_WITHIN):
-                    await context.write(response)
+                await within(WRITE_WITHIN, context.write(response))
             with anyio.move_on_after(WRITE_WITHIN):
                 await self.stirred.wait()
             self.stirred = anyio.Event()
@@ -187,8 +187,8 @@
         rlqs_pb2_grpc.add_RateLimitQuotaServiceServicer_to_server(self, server)
 
     async def first_word(self, requests, context):
-        with anyio.move_on_after(FIRST_WORD):
-            return await anext(requests, None)
+        with suppress(TimeoutError):
+            return await within(FIRST_WORD, anext(requests, None))
         await context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, "nothing said on this stream")
 
     async def both(self, reading, writing, context):
@@ -250,7 +250,7 @@
         if answer and answer[0] == "refused":
             self.host.refused(stream.ident, stream, answer[1])
         elif answer:
-            self.host.applied(stream.ident, stream, answer[1])
+            self.host.applied(stream.ident, stream, *answer[1:])
         stream.stirred.set()
 
     # -- load reports
--- a/foxstep/xds/listing.py
+++ b/foxstep/xds/listing.py
@@ -14,6 +14,7 @@
 from envoy.service.endpoint.v3 import eds_pb2_grpc
 
 from foxstep.xds import resources
+from foxstep.xds.waits import stray, within
 
 MOST_SERVERS = 20_000
 SECOND = 1_000_000
@@ -91,6 +92,10 @@
                 except (grpc.RpcError, asyncio.InvalidStateError, Unsound, TimeoutError) as error:
                     told = error.details() if isinstance(error, grpc.RpcError) else str(error)
                     reason = told or "no answer"
+                except asyncio.CancelledError:
+                    if not stray():
+                        raise
+                    reason = "the call was cancelled"
                 self.log.warning("list failed", reason=reason)
                 self.host.listed("failed", [])
 
@@ -101,9 +106,9 @@
         request = discovery_pb2.DiscoveryRequest(
             node=self.node, resource_names=[self.cluster], type_url=resources.LINES)
         try:
-            with anyio.fail_after(self.host.site["ask_within"] / SECOND / 2):
-                await call.write(request)
-                response = await call.read()
+            limit = self.host.site["ask_within"] / SECOND / 2
+            await within(limit, call.write(request))
+            response = await within(limit, call.read())
             while response is not grpc.aio.EOF:
                 request = discovery_pb2.DiscoveryRequest(
                     resource_names=[self.cluster], type_url=resources.LINES, response_nonce=response.nonce)
--- a/foxstep/xds/probes.py
+++ b/foxstep/xds/probes.py
@@ -7,6 +7,8 @@
 from xds.data.orca.v3 import orca_load_report_pb2
 from xds.service.orca.v3 import orca_pb2
 
+from foxstep.xds.waits import stray
+
 METHOD = "/xds.service.orca.v3.OpenRcaService/StreamCoreMetrics"
 SECOND = 1_000_000
 MOST_AT_ONCE = 64
@@ -71,6 +73,10 @@
             outcome = OUTCOMES.get(error.code(), "aborted")
         except asyncio.InvalidStateError:
             outcome = "broken"
+        except asyncio.CancelledError:
+            if not stray():
+                raise
+            outcome = "broken"
         finally:
             limit.release()
         line = self.host.listed_lines.get(server)
--- a/foxstep/xds/session.py
+++ b/foxstep/xds/session.py
@@ -37,7 +37,8 @@
         self.subscriptions = {}
 
     def ask(self, request):
-        """Takes a DiscoveryRequest in. Answers (accepted, marks) or (refused, reason), None for neither."""
+        """Takes a DiscoveryRequest in. Answers ("accepted", marks, ordered at), times of all that it accepts,
+        or ("refused", reason, []); None where it answers nothing."""
         kind = request.type_url
         if kind not in ORDER:
             return None  # a type that we serve nothing of stays unanswered, as the specification has it
@@ -60,17 +61,18 @@
         nonces = [nonce for nonce, _ in known.unanswered]
         if request.response_nonce not in nonces:
             return None
-        marks = []
+        marks, ordered = [], []
         while known.unanswered:
             nonce, carried = known.unanswered.popleft()
             marks += carried
+            ordered += [at for at in (int(nonce.split(".")[2]),) if at]
             if nonce == request.response_nonce:
                 break
         known.refused = request.HasField("error_detail")
         if known.refused:
             known.sent = None  # what it holds is older: all of it is to be written again
-            return "refused", request.error_detail.message
-        return "accepted", marks
+            return "refused", request.error_detail.message, []
+        return "accepted", marks, ordered
 
     def due(self, kinds, marks=(), stamp=None):
         """Notes that types are to be written anew. The marks are answered with the first that is asked for;
--- a/tests/live.py
+++ b/tests/live.py
@@ -1,10 +1,12 @@
 """A controller in this process on real sockets, and a bare discovery client to try it with."""
 
+import gc
 import time
 from contextlib import asynccontextmanager
 
 import anyio
 import grpc
+import pytest
 from envoy.config.endpoint.v3 import endpoint_pb2
 from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
 from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
@@ -18,6 +20,19 @@
 SITE = f"{EXAMPLES}/loopback.jsonnet"
 
 
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture(autouse=True)
+async def collected():
+    """What a test leaves of gRPC is collected while its loop still runs: its finalizers need the loop."""
+    yield
+    await anyio.sleep(0)
+    gc.collect()
+
+
 def clock():
     return time.monotonic_ns() // 1000
 
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -1,6 +1,8 @@
 """Bad input at each door: one line that names what was wrong and where, and nothing half applied."""
 
 import json
+import subprocess
+import sys
 
 import _jsonnet
 import pytest
@@ -162,3 +164,9 @@
     assert held == shelf(resources.LINES, ["x"])["x"].SerializeToString()
     assert session.next_response() is None
     assert len(answered) == len(set(answered))
+
+
+def test_the_bench_adapter_imports_none_of_the_programs_libraries():
+    heavy = "{'grpc', 'anyio', 'google', 'structlog', 'msgspec', 'click', 'envoy', 'xds', 'pyarrow'}"
+    code = f"import sys, foxstep.simhost.host; sys.exit(bool({heavy} & set(sys.modules)))"
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
