--- a/foxstep/drills/player.py
+++ b/foxstep/drills/player.py
@@ -52,6 +52,8 @@
         work = dict.fromkeys((o["name"] for o in self.site["op_types"]), self.day.work)
         server = Server(f"s{self.made}", zone, self.day.cores, work, self.cold, self.record, clock,
                         self.seed * 1000 + self.made, self.day.queue)
+        # The list knows whether a process runs: one that fell is gone from it, and stays down.
+        server.on_fall = lambda fallen: self.lists.set(fallen.ident, fallen.zone, self.kind, "gone")
         await server.start(cold)
         self.servers.append(server)
         return server
--- a/foxstep/standins/server.py
+++ b/foxstep/standins/server.py
@@ -20,6 +20,7 @@
         self.name, self.zone, self.cores, self.work, self.cold = name, zone, cores, work, cold
         self.record, self.clock, self.chance = record, clock, random.Random(seed)
         self.queue, self.connections = queue, connections
+        self.on_fall = lambda server: None
         self.port, self.server, self.started, self.state = 0, None, 0.0, "down"
         self.waiting = self.running = 0
         self.busy, self.busy_at, self.peers, self.brought = 0.0, 0.0, {}, []
@@ -48,8 +49,8 @@
         self.record("started", server=self.ident, name=self.name, zone=self.zone, cold=cold,
                     capacity=capacity, cores=float(self.cores))
 
-    async def crash(self):
-        self.state = "down"
+    async def crash(self, state="down"):
+        self.state = state
         for work_on in list(self.under_way):
             work_on.cancel()
         await self.server.stop(None)
@@ -126,8 +127,8 @@
             await self.silent.wait()
         if self.falls(work):
             self.record("fell", server=self.ident)
-            asyncio.get_running_loop().create_task(self.crash())
-            self.state = "fallen"
+            self.on_fall(self)
+            asyncio.get_running_loop().create_task(self.crash("fallen"))
             await context.abort(grpc.StatusCode.UNAVAILABLE, "fallen")
         if self.chance.random() < self.failing.get(op_type, 0.0):
             await context.abort(grpc.StatusCode.INTERNAL, "failing")
