--- a/foxstep/drills/notation.py
+++ b/foxstep/drills/notation.py
@@ -20,6 +20,7 @@
     at T fail TYPE PART on N for S        an op type fails on some servers
     at T lose PART on N for S             servers do the work, but their answers never arrive
     at T refuse N for S                   servers refuse connections in mid-stream, and listen again (warm)
+    at T dear S on N for S                connections are reset, and new ones take S seconds to open
     at T list broken for S                the list service ends its streams
     at T late S for S                     proxies' reports come later
     at T mute N for S                     clients whose answers to tables never arrive
@@ -39,6 +40,7 @@
     "burst": "N for N", "crash": "N back N", "silence": "N for N", "deploy": "N batch N drain N",
     "drain": "N for N", "lag": "N for N", "hot": "N for N", "slow": "N for N", "cut": "N for N",
     "kill": "back N", "fail": "W N on N for N", "refuse": "N for N", "lose": "N on N for N",
+    "dear": "N on N for N",
     "list": "broken for N",
     "late": "N for N", "mute": "N for N", "poison": "N for N", "rejoin": "N",
 }
--- a/foxstep/drills/player.py
+++ b/foxstep/drills/player.py
@@ -310,10 +310,21 @@
     async def do_refuse(self, n, seconds):
         struck = self.some(n)
         for server in struck:
-            await server.crash()
+            server.door.shut()
+        await anyio.sleep(seconds)
+        for server in struck:
+            if server.state == "up":
+                await server.door.start(server.door.inner)
+
+    async def do_dear(self, late, n, seconds):
+        struck = self.some(n)
+        for server in struck:
+            server.door.slow = late
+            for task in list(server.door.open):  # and what is open has to be opened anew
+                task.cancel()
         await anyio.sleep(seconds)
         for server in struck:
-            await server.start(cold=False)
+            server.door.slow = 0.0
 
     async def do_list(self, seconds):
         self.lists.broken = True
--- a/foxstep/standins/server.py
+++ b/foxstep/standins/server.py
@@ -10,6 +10,8 @@
 from xds.data.orca.v3 import orca_load_report_pb2
 from xds.service.orca.v3 import orca_pb2
 
+from foxstep.standins.door import Door
+
 ORCA = "/xds.service.orca.v3.OpenRcaService/StreamCoreMetrics"
 
 
@@ -21,26 +23,22 @@
         self.record, self.clock, self.chance = record, clock, random.Random(seed)
         self.queue, self.connections = queue, connections
         self.on_fall = lambda server: None
-        self.port, self.server, self.started, self.state = 0, None, 0.0, "down"
+        self.door, self.server, self.started, self.state = Door(), None, 0.0, "down"
         self.waiting = self.running = 0
         self.busy, self.busy_at, self.peers, self.brought = 0.0, 0.0, {}, []
         self.silent, self.slower, self.failing, self.lost, self.under_way = None, 1.0, {}, 0.0, set()
 
     @property
     def ident(self):
-        return f"127.0.0.1:{self.port}"
+        return f"127.0.0.1:{self.door.port}"
 
     async def start(self, cold=True):
         """Listens on its port (a new one the first time); cold unless it is said to have run for long."""
         self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
         self.server.add_generic_rpc_handlers((self,))
-        for _ in range(50):  # its own port may be held a moment by what is being closed
-            try:
-                self.port = self.server.add_insecure_port(f"127.0.0.1:{self.port}")
-                break
-            except RuntimeError:
-                await anyio.sleep(0.1)
+        port = self.server.add_insecure_port("127.0.0.1:0")
         await self.server.start()
+        await self.door.start(port)
         self.slots = asyncio.Semaphore(self.cores)
         self.started, self.lost, self.failing = self.clock() if cold else 0.0, 0.0, {}
         self.waiting = self.running = 0
@@ -53,6 +51,7 @@
         self.state = state
         for work_on in list(self.under_way):
             work_on.cancel()
+        self.door.shut()
         await self.server.stop(None)
         self.record("stopped", server=self.ident)
 
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -31,6 +31,12 @@
     assert plain["cycle"] == 500_000 and plain["op_types"][1]["window"] == 2_000_000
 
 
+@pytest.mark.parametrize("name", ["care", "docks", "league", "loopback", "morning", "short"])
+def test_each_example_gives_what_the_decisions_need(name):
+    result = CliRunner().invoke(main, ["check", f"{EXAMPLES}/{name}.jsonnet"])
+    assert result.exit_code == 0 and "grace = " in result.output, result.output
+
+
 @pytest.mark.parametrize("path,value,told", [
     ("rules.grace", "2 parsecs", "$.rules.grace: Expected a time with its unit"),
     ("rules.grace", 2, "$.rules.grace: Expected a time with its unit"),
