Versioned tables: a ledger of what proxies hold, staged rollback by name, rules beat versions

Need: when a table goes out wrong an operator must know what each proxy holds and bring all back to a good one. Change: foxstep/tables (no I/O): versions (epoch and count), a persistent history with content hashes, pins and rollbacks in waves that stop on refusals, evidence for last-good, and how a pin composes with the module's orders: the module stays the one place of decisions, its allowed() says what part of its weight a server may have now, and cuts every pinned table. foxstep tables list|show|diff|pin|rollback|put|unpin over the operator's service.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -413,6 +413,10 @@
         warm = any(self.warmth(s) == 1 for s in table)
         return table if warm else {s: s.weight * self.warmth(s) for s in candidates}
 
+    def allowed(self):
+        """The part of its usual weight that each server may have now; who is not named may have none."""
+        return {s.ident: weight / s.weight for s, weight in self.want.items() if s.weight}
+
     def room(self, proxy, lines, calm):
         """Whether the limits on messages and waiting lines take so many more, the channel being at `pace`."""
         sent = (self.now - self.waiting_at) / SECOND * self.site.get("lines_per_s", 1000) * self.pace
--- a/foxstep/commands/line.py
+++ b/foxstep/commands/line.py
@@ -1,6 +1,7 @@
 """The `foxstep` command and its subcommands' arguments; the work is in the files beside this one."""
 
 import re
+import sys
 
 import click
 
@@ -97,3 +98,94 @@
     """Measure a controller at several sizes: order to acceptance, CPU, memory, report intake."""
     from foxstep.measure.fleet import run
     run([int(size) for size in sizes.split(",")], servers, seconds)
+
+
+def scoped(command):
+    command = click.option("--zone", help="only proxies of this zone")(command)
+    return click.option("--proxy", help="only this proxy")(command)
+
+
+def scope_of(zone, proxy):
+    if zone and proxy:
+        raise click.UsageError("--zone or --proxy, not both")
+    return f"zone {zone}" if zone else f"proxy {proxy}" if proxy else "fleet"
+
+
+@main.group(cls=Refusing)
+def tables():
+    """Versions of tables: who holds what, and back to an earlier one."""
+
+
+@tables.command("list")
+@click.argument("address", callback=loopback)
+@click.option("--most", type=click.IntRange(1, 1000), default=20, help="so many of the newest")
+def tables_list(address, most):
+    """Print the newest versions, why they came and how they did, and the rollbacks."""
+    from foxstep.commands.tables import show_list
+    show_list(address, most)
+
+
+@tables.command("show")
+@click.argument("address", callback=loopback)
+@click.argument("proxy", required=False)
+@click.option("--version", help="as of this version")
+def tables_show(address, proxy, version):
+    """Print what every proxy holds, or one PROXY's table."""
+    from foxstep.commands.tables import show_table
+    show_table(address, proxy, version)
+
+
+@tables.command("diff")
+@click.argument("address", callback=loopback)
+@click.argument("old")
+@click.argument("new")
+def tables_diff(address, old, new):
+    """Print what differs between versions OLD and NEW ("last-good" is one)."""
+    from foxstep.commands.tables import show_diff
+    show_diff(address, old, new)
+
+
+@tables.command("rollback")
+@click.argument("address", callback=loopback)
+@click.argument("version")
+@scoped
+@click.option("--wait/--no-wait", default=True, help="follow it to its end")
+def tables_rollback(address, version, zone, proxy, wait):
+    """Bring proxies back to VERSION ("last-good" is one) in waves, and hold them there."""
+    from foxstep.commands.tables import order
+    sys.exit(0 if order(address, "rollback", scope_of(zone, proxy), version, wait=wait) else 1)
+
+
+@tables.command("pin")
+@click.argument("address", callback=loopback)
+@click.argument("version")
+@scoped
+@click.option("--wait/--no-wait", default=True, help="follow it to its end")
+def tables_pin(address, version, zone, proxy, wait):
+    """Like rollback, but all at once."""
+    from foxstep.commands.tables import order
+    sys.exit(0 if order(address, "pin", scope_of(zone, proxy), version, wait=wait) else 1)
+
+
+@tables.command("put")
+@click.argument("address", callback=loopback)
+@click.argument("lines", nargs=-1, required=True, metavar="SERVER=WEIGHT...")
+@scoped
+def tables_put(address, lines, zone, proxy):
+    """Hold proxies to a table made by hand, as far as the rules leave it."""
+    from foxstep.commands.tables import order
+    try:
+        table = {line.rpartition("=")[0]: float(line.rpartition("=")[2]) for line in lines}
+    except ValueError:
+        raise click.BadParameter(f"expected SERVER=WEIGHT, got {lines!r}") from None
+    sys.exit(0 if order(address, "put", scope_of(zone, proxy), lines=table) else 1)
+
+
+@tables.command("unpin")
+@click.argument("address", callback=loopback)
+@scoped
+def tables_unpin(address, zone, proxy):
+    """Let proxies follow the ordinary tables again."""
+    from foxstep.commands.tables import question
+    ended = question(address, "unpin", scope=scope_of(zone, proxy))["ended"]
+    click.echo(f"{ended} ended")
--- a/foxstep/interface.py
+++ b/foxstep/interface.py
@@ -56,3 +56,7 @@
     def applied(self, now: int, proxy: int, number: int, took: int) -> None: ...
 
     def next_order(self, now: int) -> Order | None: ...
+
+    def allowed(self) -> dict[str, float]:
+        """The part of its usual weight (0 to 1) that each server may have in any table now; a server that is
+        not named may have none. What a host cuts tables of an earlier day by."""
--- a/foxstep/live/book.py
+++ b/foxstep/live/book.py
@@ -13,7 +13,7 @@
     """What one proxy is to be written at one time. Later orders fold into it while it waits."""
 
     __slots__ = ("proxy", "ordered_at", "first_at", "tables", "lines", "levels", "shut", "emptied", "marks",
-                 "whole", "head", "dropped")
+                 "whole", "head", "meant")
 
     def __init__(self, proxy, ordered_at, head):
         self.proxy, self.ordered_at, self.first_at, self.head = proxy, ordered_at, ordered_at, head
@@ -24,6 +24,7 @@
         self.emptied = {}    # tables wiped before these lines, as a set in order
         self.marks = []      # (number, ordered at)
         self.whole = False   # holds all that its proxy is to hold
+        self.meant = None    # its proxy's ledger.Table, once it is applied
 
     @property
     def cost(self):
@@ -46,7 +47,7 @@
         self.shut.update(later.shut)
         # An older mark is answered with the newest: it asks for all that was sent before it.
         self.marks = (self.marks + later.marks)[-1:]
-        self.ordered_at = later.ordered_at
+        self.ordered_at, self.meant = later.ordered_at, later.meant or self.meant
 
 
 class Holding:
@@ -55,7 +56,8 @@
     def __init__(self, places):
         self.tables = [None] * places
         self.lines, self.levels, self.shut = {}, {}, {}
-        self.written = 0  # messages written to it
+        self.written = 0     # messages written to it
+        self.meant = None    # the ledger.Table that its lines are
 
     def apply(self, message):
         if message.whole:
@@ -78,6 +80,7 @@
             else:
                 self.shut.pop(server, None)
         self.written += 1
+        self.meant = message.meant or self.meant
 
     def lines_of(self, place):
         """Server -> weight that may be picked for an op type; None where it is on no table of ours."""
--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -19,6 +19,8 @@
 from foxstep.live.intake import Intake
 from foxstep.live.remembered import Remembered
 from foxstep.live.repair import Repairs
+from foxstep.tables.desk import Desk
+from foxstep.tables.version import Version
 
 SECOND = 1_000_000
 CAUSES = 12  # inputs named in the log as what a batch of orders was decided on
@@ -65,9 +67,10 @@
         self.listed_lines = {}                     # server -> its line, as last told
         self.intake = Intake(site["cycle"], site["intake_per_s"], self.listed_lines.__contains__)
         self.repairs = Repairs(2 * site["cycle"])
+        self.desk = Desk(site, self.epoch)
         self.joins = {}                            # ident -> Joined
         self.timers, self.turns = [], count()
-        self.next_round, self.room_at = now + site["cycle"], None
+        self.next_round, self.room_at, self.look_at = now + site["cycle"], None, now
         self.stirred = anyio.Event()
         self.because, self.orders = [], 0
         self.notes, self.lag = "", 0               # the longest that the loop was late since last looked at
@@ -106,8 +109,13 @@
             self.remembered.keep(kept)
         self.stir(f"listed {how} {len(lines)}")
 
-    def joined(self, ident, zone, rate, fresh, outlet):
-        """A proxy's stream is up. An older stream under the same id is ended: its queue is void."""
+    def joined(self, ident, zone, rate, fresh, outlet, told=""):
+        """A proxy's stream is up; `told` is the version that it says it holds. An older stream under the
+        same id is ended: its queue is void."""
+        try:
+            held = Version.read(told) if told else None
+        except ValueError:
+            held = None  # another server's version: nothing follows from it
         older = self.joins.pop(ident, None)
         if older:
             self.log.info("joined twice", proxy=ident)
@@ -116,6 +124,9 @@
             self.controller.left(self.clock(), ident)
         self.joins[ident] = Joined(ident, zone, rate, outlet)
         self.book.join(ident)
+        if self.desk.ledger.epoch < (held.epoch if held else 0):
+            self.log.warning("outranked", proxy=ident, holds=str(held))
+        self.desk.ledger.joined(ident, held)
         self.repairs.forget(ident)
         self.controller.joined(self.clock(), ident, zone, rate, fresh)
         self.stir(f"joined {ident}")
@@ -128,20 +139,26 @@
         del self.joins[ident]
         self.channel.drop(ident)
         self.book.leave(ident)
+        self.desk.ledger.left(ident)
         self.repairs.forget(ident)
         self.controller.left(self.clock(), ident)
         self.log.info("left", proxy=ident, reason=reason)
         self.stir(f"left {ident}")
 
-    def applied(self, ident, outlet, marks, ordered=()):
+    def applied(self, ident, outlet, marks, ordered=(), version=None):
         """A proxy has accepted a delivered message (and all before it) that carried these marks; `ordered`
-        are the times at which what it accepts was ordered."""
+        are the times at which what it accepts was ordered, `version` its table's as written."""
         joined = self.joins.get(ident)
         if joined is None or joined.outlet is not outlet:
             return
         joined.accepted += 1
         self.repairs.accepted(ident)
         now = self.clock()
+        if version:
+            self.desk.ledger.accepted(ident, Version.read(version))
+            self.desk.evidence.answered(now, refused=False)
+            if self.desk.busy():
+                self.stir(f"accepted {ident} {version}")
         for at in ordered:
             self.to_answer.record_value(max(now - at, 1))
         for number, ordered_at in marks:
@@ -149,13 +166,16 @@
         if marks:
             self.stir(f"applied {ident}")
 
-    def refused(self, ident, outlet, reason):
+    def refused(self, ident, outlet, reason, version=None):
         """A proxy keeps its old table. The module is told by its joining anew, when the repair is due."""
         joined = self.joins.get(ident)
         if joined is None or joined.outlet is not outlet:
             return
         joined.refused += 1
         joined.last_refusal = reason[:300]
+        if version:
+            self.desk.ledger.refused(ident, Version.read(version), reason)
+            self.desk.evidence.answered(self.clock(), refused=True)
         due = self.repairs.refused(self.clock(), ident)
         self.log.warning("refused", proxy=ident, reason=reason[:300],
                          repair_in_ms=(due - self.clock()) // 1000)
@@ -206,7 +226,9 @@
                 self.fetch()
             else:
                 self.log.error("order not carried out", verb=verb)
-        messages = self.book.close_batch()
+        zones = {ident: joined.zone for ident, joined in self.joins.items()}
+        messages = self.desk.shape(now, self.book.close_batch(), self.book, zones, self.controller.allowed(),
+                                   "; ".join(self.because))
         for message in messages:
             self.channel.offer(now, message)
         if messages:
@@ -233,6 +255,8 @@
             holding = self.book.holdings[message.proxy]
             holding.apply(message)
             joined.delivered += 1
+            if message.meant:
+                self.desk.ledger.sent(now, message.proxy, message.meant.version)
             joined.outlet.deliver(holding, message)
 
     def turn(self):
@@ -245,12 +269,15 @@
         if now >= self.next_round:
             self.lag = max(self.lag, now - self.next_round)
             self.next_round = max(self.next_round + self.site["cycle"], now + self.site["cycle"] // 2)
-            if self.intake.round(self.controller, now):
+            if self.intake.round(self.controller, now, self.desk.evidence):
                 self.stir("reports")
         while (ident := self.repairs.next_due(now)) is not None:
             joined = self.joins[ident]
             self.controller.joined(now, ident, joined.zone, joined.rate, False)
             self.stir(f"repair {ident}")
+        if self.desk.busy() and not self.because and now >= self.look_at:
+            self.look_at = now + self.site["cycle"] // 5
+            self.stir("rollback")
         if self.room_at and now >= self.room_at:
             self.room_at = None
             self.stir("room")
@@ -261,6 +288,7 @@
 
     def next_at(self, now):
         times = [self.next_round, self.room_at, self.channel.next_at(now), self.repairs.next_at()]
+        times += [self.look_at] if self.desk.busy() else []
         times += [self.timers[0][0]] if self.timers else []
         return min(t for t in times if t is not None)
 
--- a/foxstep/live/intake.py
+++ b/foxstep/live/intake.py
@@ -60,14 +60,15 @@
         for key in [k for k in self.came if k[0] == proxy]:
             del self.came[key]
 
-    def round(self, controller, now):
-        """Hands the module one round; answers how many lines it was."""
+    def round(self, controller, now, evidence):
+        """Hands the module one round, and its tries to the evidence; answers how many lines it was."""
         left = self.share
         for key in list(self.met)[:left]:
             (server, zone), (tries, aborted, timed, total, window, load) = key, self.met.pop(key)
             if tries:
                 controller.heard(now, server, zone, tries, aborted, round(total / timed) if timed else 0,
                                  window, load)
+                evidence.met(now, tries, aborted, total / timed * (tries - aborted) if timed else 0.0)
                 left -= 1
         for key in list(self.came)[:left]:
             ops, unanswered, window = self.came.pop(key)
--- a/foxstep/xds/front.py
+++ b/foxstep/xds/front.py
@@ -33,7 +33,7 @@
 
     def __init__(self, front, ident, zone, rate, quotas):
         self.front, self.ident, self.zone, self.rate, self.quotas = front, ident, zone, rate, quotas
-        self.session = Session(self.render, front.host.epoch)
+        self.session = Session(self.render, front.host.epoch, self.version_of)
         self.holding, self.ended, self.stirred = None, "", anyio.Event()
         self.came = {}  # op type's place -> ops a second, as last reported
 
@@ -42,7 +42,8 @@
     def deliver(self, holding, message):
         self.holding = holding
         kinds = []
-        lines = message.lines or message.shut or message.tables or message.emptied or message.whole
+        lines = (message.lines or message.shut or message.tables or message.emptied or message.whole
+                 or message.meant)
         levels = self.levels_in_lines() and message.levels
         if message.tables and not self.quotas:
             kinds.append(resources.CLUSTER)
@@ -90,6 +91,10 @@
         usual = self.front.site["usual_tries"] if level is None else level[1]
         return self.front.host.allowed_tries(place, usual)
 
+    def version_of(self, kind):
+        meant = self.holding.meant if kind == resources.LINES and self.holding else None
+        return meant.name() if meant else None
+
     def render(self, kind, names):
         front, site_name = self.front, self.front.site_name
         if kind == resources.LISTENER:
@@ -229,7 +234,8 @@
         stream = Stream(self, ident, zone, min(max(told, 0.0), OPEN_RATE),
                         QUOTAS in first.node.client_features)
         self.streams[ident] = stream
-        self.host.joined(ident, zone, stream.rate, not first.version_info, stream)
+        told = first.version_info if first.type_url == resources.LINES else ""
+        self.host.joined(ident, zone, stream.rate, not first.version_info, stream, told)
         reason = "cancelled"
         try:
             self.heed(stream, first)
@@ -248,7 +254,7 @@
     def heed(self, stream, request):
         answer = stream.session.ask(request)
         if answer and answer[0] == "refused":
-            self.host.refused(stream.ident, stream, answer[1])
+            self.host.refused(stream.ident, stream, *answer[1:])
         elif answer:
             self.host.applied(stream.ident, stream, *answer[1:])
         stream.stirred.set()
--- a/foxstep/xds/session.py
+++ b/foxstep/xds/session.py
@@ -23,7 +23,8 @@
 class Subscription:
     def __init__(self):
         self.names, self.nonce, self.version = [], "", 0
-        self.unanswered = deque(maxlen=MOST_UNANSWERED)  # (nonce, marks), oldest first
+        self.unanswered = deque(maxlen=MOST_UNANSWERED)  # (nonce, marks, version), oldest first
+        self.sent_version = None
         self.due, self.marks, self.stamp = False, [], None
         self.sent = None        # the resources as last written, to write changes only
         self.refused = False    # the client stands on an older version
@@ -32,13 +33,13 @@
 class Session:
     """`render(type_url, names)` gives the messages by name; those it does not know are left out."""
 
-    def __init__(self, render, epoch):
-        self.render, self.epoch, self.count = render, epoch, 0
+    def __init__(self, render, epoch, version_of=lambda kind: None):
+        self.render, self.epoch, self.count, self.version_of = render, epoch, 0, version_of
         self.subscriptions = {}
 
     def ask(self, request):
-        """Takes a DiscoveryRequest in. Answers ("accepted", marks, ordered at), times of all that it accepts,
-        or ("refused", reason, []); None where it answers nothing."""
+        """Takes a DiscoveryRequest in. Answers ("accepted", marks, times at which what it accepts was
+        ordered, version) or ("refused", reason, version); None where it answers nothing."""
         kind = request.type_url
         if kind not in ORDER:
             return None  # a type that we serve nothing of stays unanswered, as the specification has it
@@ -58,12 +59,12 @@
         return answer
 
     def answer(self, known, request):
-        nonces = [nonce for nonce, _ in known.unanswered]
+        nonces = [nonce for nonce, _, _ in known.unanswered]
         if request.response_nonce not in nonces:
             return None
-        marks, ordered = [], []
+        marks, ordered, version = [], [], None
         while known.unanswered:
-            nonce, carried = known.unanswered.popleft()
+            nonce, carried, version = known.unanswered.popleft()
             marks += carried
             ordered += [at for at in (int(nonce.split(".")[2]),) if at]
             if nonce == request.response_nonce:
@@ -71,8 +72,8 @@
         known.refused = request.HasField("error_detail")
         if known.refused:
             known.sent = None  # what it holds is older: all of it is to be written again
-            return "refused", request.error_detail.message, []
-        return "accepted", marks, ordered
+            return "refused", request.error_detail.message, version
+        return "accepted", marks, ordered, version
 
     def due(self, kinds, marks=(), stamp=None):
         """Notes that types are to be written anew. The marks are answered with the first that is asked for;
@@ -93,7 +94,8 @@
             made = self.render(kind, known.names)
             if not made:
                 continue  # nothing to say yet: the marks and the stamp go with what is said first
-            if made == known.sent and not known.marks:
+            version = self.version_of(kind)
+            if made == known.sent and version == known.sent_version and not known.marks:
                 known.stamp = None
                 continue
             changed = made
@@ -104,10 +106,10 @@
             ordered_at, lines = known.stamp or (0, 0)
             known.nonce = f"{self.epoch}.{self.count}.{ordered_at}.{lines}"
             response = discovery_pb2.DiscoveryResponse(
-                version_info=f"{self.epoch}.{known.version}", type_url=kind, nonce=known.nonce)
+                version_info=f"{version or self.epoch}/{known.version}", type_url=kind, nonce=known.nonce)
             for message in changed.values():
                 response.resources.add().Pack(message)
-            known.unanswered.append((known.nonce, known.marks))
-            known.sent, known.marks, known.stamp = made, [], None
+            known.unanswered.append((known.nonce, known.marks, version))
+            known.sent, known.sent_version, known.marks, known.stamp = made, version, [], None
             return response
         return None
