--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -165,7 +165,7 @@
 
 
 def test_a_full_disk_is_told_once_and_when_there_is_room_again_the_history_goes_on(tmp_path):
-    store = Store(str(tmp_path), wall, pages=20)
+    store = Store(str(tmp_path), wall, pages=8)
     history(store, 900, proxies=300)
     assert not store.flush() and "full" in store.failing and store.lost
     store.base.execute("PRAGMA max_page_count=100000")
