--- a/foxstep/commands/line.py
+++ b/foxstep/commands/line.py
@@ -189,3 +189,10 @@
     from foxstep.commands.tables import question
     ended = question(address, "unpin", scope=scope_of(zone, proxy))["ended"]
     click.echo(f"{ended} ended")
+
+
+@main.command("measure-tables")
+def measure_tables():
+    """Measure what versions cost in memory and in the store, beside plain copies."""
+    from foxstep.measure.tables import run
+    run()
