--- a/foxstep/measure/tables.py
+++ b/foxstep/measure/tables.py
@@ -58,7 +58,7 @@
         ledger, put = Ledger(store.epoch, keep=versions), 0.0
         ledger.commit(0, "", tables(proxies))
         began = time.perf_counter()
-        for k in range(versions):
+        for k in range(1, versions + 1):
             changed = {}
             for proxy, server, weight in change(k, proxies, part):
                 changed[proxy] = ledger.table(proxy).lines.set(server, weight)
--- a/foxstep/xds/front.py
+++ b/foxstep/xds/front.py
@@ -53,7 +53,6 @@
     # -- as an outlet of the host
 
     def deliver(self, holding, message):
-        self.holding = holding
         kinds = []
         lines = (message.lines or message.shut or message.tables or message.emptied or message.whole
                  or message.meant)
@@ -66,8 +65,9 @@
             kinds.append(resources.LINE)
         if message.levels or message.whole:
             kinds.append(resources.ROUTES)
-        if message.levels or message.whole:
+        if message.levels or message.whole or self.holding is not holding:
             self.front.levels_changed(self.ident)
+        self.holding = holding
         # A mark asks for an answer: the table is written for it even where only rates have changed.
         if message.marks and not kinds:
             kinds.append(resources.LINE if self.incremental else resources.LINES)
@@ -173,14 +173,17 @@
         self.op_types, self.sent, self.stirred = {}, {}, anyio.Event()
 
     def response(self):
-        """Assignments that differ from those sent, or None."""
+        """Assignments that differ from those sent, or None. Guards against levels of a former controller's
+        that the proxy still holds: on a new stream all is said anew, also that all is let in."""
         stream = self.front.streams.get(self.ident)
         made = rlqs_pb2.RateLimitQuotaResponse()
+        if stream is None or stream.holding is None:
+            return None  # nothing of ours has reached it yet: what it holds stands
         for op_type in self.op_types:
             place = self.front.place_of[op_type]
-            level = stream.holding.level_of(place) if stream and stream.holding else None
+            level = stream.holding.level_of(place)
             quota = None if level is None or level[0] >= OPEN_RATE else level[0]
-            if self.sent.get(op_type, None) == quota:
+            if op_type in self.sent and self.sent[op_type] == quota:
                 continue
             self.sent[op_type] = quota
             action = made.bucket_action.add()
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -6,6 +6,7 @@
 import grpc
 import pytest
 from envoy.config.endpoint.v3 import load_report_pb2
+from envoy.service.rate_limit_quota.v3 import rlqs_pb2, rlqs_pb2_grpc
 from live import SERVERS, Client, anyio_backend, collected, controller, open_lines, until  # noqa: F401
 
 from foxstep.xds import resources
@@ -211,3 +212,27 @@
         assert made.policy.drop_overloads[0].drop_percentage.numerator == 750_000
         assert set(held) == set(SERVERS[:2])
 
+
+
+async def test_a_level_of_a_former_controller_is_lifted_when_the_new_one_has_none():
+    async with controller() as (host, address), grpc.aio.insecure_channel(address) as channel:
+        host.listed("whole", open_lines(*SERVERS[:2]))
+        client = Client(channel, "p")
+        quotas = rlqs_pb2_grpc.RateLimitQuotaServiceStub(channel).StreamRateLimitQuotas()
+        report = rlqs_pb2.RateLimitQuotaUsageReports(domain="loopback")
+        report.bucket_quota_usages.add().bucket_id.bucket.update({"proxy": "p", "op_type": "look-up"})
+        await quotas.write(report)  # a proxy that still holds what it was told before
+        await client.ask()
+        await client.table()
+        with anyio.fail_after(3):
+            answer = await quotas.read()
+        strategy = answer.bucket_action[0].quota_assignment_action.rate_limit_strategy
+        assert strategy.HasField("blanket_rule") and strategy.blanket_rule == 0
+        host.book.admit(host.clock(), "p", 1, 2.5, 0)
+        for message in host.book.close_batch():
+            host.channel.offer(host.clock(), message)
+        host.stir("test")
+        with anyio.fail_after(3):
+            answer = await quotas.read()
+        bucket = answer.bucket_action[0].quota_assignment_action.rate_limit_strategy.token_bucket
+        assert bucket.fill_interval.ToNanoseconds() == 400_000_000 and bucket.max_tokens == 2
