--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -42,7 +42,9 @@
         self.start()
 
     def start(self):
-        self.store = Store(self.folder.name, lambda: 1)
+        self.store, self.unwritten = Store(self.folder.name, lambda: 1), []
+        self.put = self.store.put
+        self.store.put = lambda *write: self.unwritten.append(write) or True
         self.desk, self.book = Desk(SITE, self.store.epoch), Book(1, 2)
         self.desk.restore(self.store.entries, self.store.rollbacks, self.store.holders)
         for entry in self.store.entries:        # what was kept is what was
@@ -167,10 +169,13 @@
         self.desk.release(scope, self.joined)
         self.batch()
 
-    @rule()
-    def kill(self):
-        """The controller is killed with what was flushed; proxies go on with what they hold."""
-        self.store.flush()
+    @rule(data=st.data())
+    def kill(self, data):
+        """The controller is killed after any of its writes, the later ones lost; proxies go on with what they
+        hold, which may be what was never stored."""
+        for write in self.unwritten[:data.draw(st.integers(0, len(self.unwritten)))]:
+            self.put(*write)
+            assert self.store.flush()
         self.store.close()
         for proxy in list(self.joined):
             self.leave(proxy)
