--- a/foxstep/commands/line.py
+++ b/foxstep/commands/line.py
@@ -100,6 +100,23 @@
     run([int(size) for size in sizes.split(",")], servers, seconds)
 
 
+@main.command()
+@click.argument("site")
+@click.option("--id", "ident", required=True, help="this proxy's own name; no two may share one")
+@click.option("--zone", help="its zone, the site's if not told")
+@click.option("--listen", default="127.0.0.1:0", callback=loopback, help="address to take ops on")
+@click.option("--controller", "controllers", multiple=True, required=True, help="address; may be given again")
+@click.option("--standing", multiple=True, help="a server to begin with; may be given again")
+@click.option("--tell", is_flag=True, help="print the address on standard output, once ready")
+def proxy(site, ident, zone, listen, controllers, standing, tell):
+    """Run a proxy that forwards gRPC ops exactly as its controller's tables say."""
+    from foxstep.commands.proxy import run
+    for address in (*controllers, *standing):
+        loopback(None, None, address)
+    told = read_site(site)
+    run(told, ident, zone or told.zone, listen, list(controllers), list(standing), tell)
+
+
 def scoped(command):
     command = click.option("--zone", help="only proxies of this zone")(command)
     return click.option("--proxy", help="only this proxy")(command)
--- /dev/null
+++ b/foxstep/proxy/control.py
@@ -0,0 +1,224 @@
+"""The proxy's streams to its controller: tables by incremental discovery, load reports, quotas.
+
+Whatever breaks, the proxy goes on with what it holds, and dials again, the next controller if need be.
+"""
+
+import asyncio
+from zlib import crc32
+
+import anyio
+import grpc
+import structlog
+from envoy.config.core.v3 import base_pb2
+from envoy.config.endpoint.v3 import endpoint_components_pb2
+from envoy.config.route.v3 import route_pb2
+from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
+from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
+from envoy.service.rate_limit_quota.v3 import rlqs_pb2, rlqs_pb2_grpc
+
+from foxstep.proxy.table import Refused
+from foxstep.proxy.tries import NEVER, ONCE, PROVEN, TWICE
+
+PREFIX = "type.googleapis.com/envoy.config."
+ROUTES, LINE = PREFIX + "route.v3.RouteConfiguration", PREFIX + "endpoint.v3.LbEndpoint"
+FEATURES = ["foxstep.quotas", "foxstep.tables"]
+MICRO = 1_000_000
+BROKEN = (grpc.RpcError, grpc.aio.UsageError, grpc.aio.InternalError, asyncio.InvalidStateError, EOFError,
+          TimeoutError)
+CONNECT_WITHIN = 3.0
+DENY_ALL = 1
+
+
+def way_of(policy):
+    """A way of trying again from a retry policy: words that are not known are skipped."""
+    words = set(policy.retry_on.split(","))
+    proven, failure = {"connect-failure", "refused-stream"}, {"reset", "unavailable"}
+    if not policy.num_retries.value or not words & (proven | failure):
+        return NEVER
+    if not words & failure:
+        return PROVEN
+    return TWICE if policy.num_retries.value > 1 else ONCE
+
+
+class Control:
+    """`redial`: (least, most) seconds before dialling again. `stall`: seconds that the proxy stands still
+    for each line that it is sent. `forwarder` gets what its tables, ways and levels say."""
+
+    def __init__(self, ident, zone, rate, site_name, op_types, controllers, table, forwarder, clock, seed=0,
+                 redial=(0.2, 1.0), stall=0.0):
+        self.ident, self.zone, self.rate, self.site_name = ident, zone, rate, site_name
+        self.op_types, self.controllers, self.table, self.forwarder = op_types, controllers, table, forwarder
+        self.clock, self.seed, self.redial, self.stall = clock, seed, redial, stall
+        self.pattern = f"xdstp:///envoy.config.endpoint.v3.LbEndpoint/{site_name}/every-op-type/*"
+        self.dials, self.joined, self.refusals = 0, False, 0
+        self.log = structlog.get_logger("foxstep.proxy").bind(proxy=ident)
+
+    def node(self):
+        node = base_pb2.Node(id=self.ident, user_agent_name="foxstep-proxy", client_features=FEATURES)
+        node.locality.zone = self.zone
+        node.metadata["rate"] = self.rate
+        if self.table.name:
+            node.metadata["holds"] = self.table.name
+        return node
+
+    async def run(self):
+        while True:
+            address = self.controllers[self.dials % len(self.controllers)]
+            options = [("grpc.keepalive_time_ms", 5_000), ("grpc.keepalive_timeout_ms", 2_000),
+                       ("grpc.use_local_subchannel_pool", 1), ("grpc.enable_retries", 0)]
+            async with grpc.aio.insecure_channel(address, options=options) as channel:
+                try:
+                    await asyncio.wait_for(channel.channel_ready(), CONNECT_WITHIN)
+                    async with anyio.create_task_group() as group:
+                        for stream in (self.follow, self.report, self.tell_usage):
+                            group.start_soon(stream, channel)
+                except* BROKEN as broken:
+                    self.log.info("stream broke", controller=address, why=str(broken.exceptions[0])[:120])
+            self.joined = False
+            self.dials += 1
+            # Spread by chance: fifty proxies that lost one controller do not all come back at once.
+            chance = crc32(f"{self.seed} {self.ident} {self.dials}".encode()) / 2**32
+            await anyio.sleep(self.redial[0] + chance * (self.redial[1] - self.redial[0]))
+
+    # -- tables
+
+    async def follow(self, channel):
+        call = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel).DeltaAggregatedResources()
+        held = {self.pattern[:-1] + server: str(weight) for server, weight in self.table.held().items()}
+        await call.write(discovery_pb2.DeltaDiscoveryRequest(
+            node=self.node(), type_url=LINE, resource_names_subscribe=[self.pattern],
+            initial_resource_versions=held))
+        await call.write(discovery_pb2.DeltaDiscoveryRequest(
+            type_url=ROUTES, resource_names_subscribe=[self.site_name]))
+        while (response := await call.read()) is not grpc.aio.EOF:
+            self.joined = True
+            answer = discovery_pb2.DeltaDiscoveryRequest(type_url=response.type_url,
+                                                         response_nonce=response.nonce)
+            try:
+                lines = self.take(response)
+                if lines and self.stall:
+                    self.forwarder.stand_still(lines * self.stall)
+            except Refused as refused:
+                self.refusals += 1
+                answer.error_detail.code, answer.error_detail.message = 3, str(refused)
+                self.log.warning("table refused", why=str(refused))
+            await call.write(answer)
+        raise EOFError("the controller ended the stream")
+
+    def take(self, response):
+        """Takes a response in; answers how many lines it was. Raises Refused: then nothing has changed."""
+        if response.type_url == LINE:
+            changed = {}
+            for resource in response.resources:
+                line = endpoint_components_pb2.LbEndpoint()
+                if not resource.resource.Unpack(line):
+                    raise Refused(f"not a line but {resource.resource.type_url[:80]}")
+                address = line.endpoint.address.socket_address
+                server = resource.name.rpartition("/")[2]
+                host = f"[{address.address}]" if ":" in address.address else address.address
+                if server != f"{host}:{address.port_value}":
+                    raise Refused(f"a line named {server[:60]} for {host[:60]}:{address.port_value}")
+                changed[server] = line.load_balancing_weight.value
+            removed = [name.rpartition("/")[2] for name in response.removed_resources]
+            lines = self.table.take(response.system_version_info, changed, removed)
+            self.forwarder.table(self.table.lines)
+            return lines
+        for resource in response.resources:
+            routes = route_pb2.RouteConfiguration()
+            if resource.resource.Unpack(routes) and routes.virtual_hosts:
+                known = {o["name"] for o in self.op_types}
+                for route in routes.virtual_hosts[0].routes:
+                    if route.name in known:
+                        policy = route.route.retry_policy
+                        self.forwarder.tries.ways[route.name] = way_of(policy)
+                        wait = policy.per_try_timeout.ToNanoseconds() / 1e9
+                        self.forwarder.try_wait[route.name] = wait or None
+        return 0
+
+    # -- reports
+
+    async def report(self, channel):
+        """Load reports at the asked interval."""
+        call = lrs_pb2_grpc.LoadReportingServiceStub(channel).StreamLoadStats()
+        await call.write(lrs_pb2.LoadStatsRequest(node=self.node()))
+        answer = await call.read()
+        if answer is grpc.aio.EOF:
+            raise EOFError("no load reports wanted")
+        every = max(answer.load_reporting_interval.ToNanoseconds() / 1e9, 0.05)
+        self.forwarder.reports.forget()
+        began = self.clock()
+        while True:
+            await anyio.sleep(every)
+            now = self.clock()
+            request = lrs_pb2.LoadStatsRequest(node=self.node())
+            clusters = {}
+            for (server, op_type), (good, bad, took, load) in self.forwarder.reports.told().items():
+                stats = clusters.get(op_type)
+                if stats is None:
+                    stats = clusters[op_type] = request.cluster_stats.add(cluster_name=op_type)
+                    stats.load_report_interval.FromNanoseconds(round((now - began) * 1e9))
+                met = stats.upstream_locality_stats.add(
+                    total_successful_requests=good, total_error_requests=bad,
+                    total_issued_requests=good + bad)
+                met.locality.zone, met.locality.sub_zone = self.zone, server
+                if good:
+                    met.load_metric_stats.add(metric_name="foxstep.latency_us", total_metric_value=took * 1e6,
+                                              num_requests_finished_with_metric=good)
+                for name, (times, total) in load.items():
+                    met.load_metric_stats.add(metric_name=name, num_requests_finished_with_metric=times,
+                                              total_metric_value=total)
+            began = now
+            await call.write(request)
+
+    async def tell_usage(self, channel):
+        """Quota usage up, quota assignments down."""
+        call = rlqs_pb2_grpc.RateLimitQuotaServiceStub(channel).StreamRateLimitQuotas()
+
+        async def tell(every=0.5):
+            began, first = self.clock(), True
+            self.forwarder.levels.told()
+            while True:
+                now, came = self.clock(), self.forwarder.levels.told()
+                report = rlqs_pb2.RateLimitQuotaUsageReports(domain=self.site_name if first else "")
+                for op_type in self.op_types:
+                    usage = report.bucket_quota_usages.add()
+                    usage.bucket_id.bucket.update({"proxy": self.ident, "op_type": op_type["name"]})
+                    usage.num_requests_allowed, usage.num_requests_denied = came.get(op_type["name"], (0, 0))
+                    if not first:
+                        usage.time_elapsed.FromNanoseconds(max(1, round((now - began) * 1e9)))
+                began, first = now, False
+                await call.write(report)
+                await anyio.sleep(every)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(tell)
+            while (answer := await call.read()) is not grpc.aio.EOF:
+                for action in answer.bucket_action:
+                    self.assign(action)
+            raise EOFError("the controller ended the stream")
+
+    def assign(self, action):
+        name, now = action.bucket_id.bucket.get("op_type", ""), round(self.clock() * MICRO)
+        if name not in {o["name"] for o in self.op_types}:
+            return
+        if not action.HasField("quota_assignment_action"):
+            self.forwarder.levels.rate(now, name, None, 0)  # abandoned: as if it had never been assigned
+            return
+        made = action.quota_assignment_action
+        lasts = made.assignment_time_to_live.ToNanoseconds() // 1000
+        strategy = made.rate_limit_strategy
+        kind = strategy.WhichOneof("strategy")
+        if kind == "token_bucket":
+            bucket = strategy.token_bucket
+            every = bucket.fill_interval.ToNanoseconds() / 1e9
+            fill = bucket.tokens_per_fill.value or 1
+            if every > 0:
+                self.forwarder.levels.rate(now, name, fill / every, max(bucket.max_tokens, 1), lasts)
+        elif kind == "requests_per_time_unit":
+            unit = {1: 1, 2: 60, 3: 3600, 4: 86400}.get(strategy.requests_per_time_unit.time_unit, 1)
+            rate = strategy.requests_per_time_unit.requests_per_time_unit / unit
+            self.forwarder.levels.rate(now, name, rate, max(1, round(rate)), lasts)
+        elif kind == "blanket_rule" and strategy.blanket_rule == DENY_ALL:
+            self.forwarder.levels.rate(now, name, 0.0, 1, lasts)
+        else:
+            self.forwarder.levels.rate(now, name, None, 0, lasts)
--- /dev/null
+++ b/foxstep/standins/caller.py
@@ -0,0 +1,49 @@
+"""A stand-in client of one proxy: ops by chance through its door, by a stock gRPC channel."""
+
+import json
+import random
+
+import anyio
+import grpc
+
+MOST_OUT = 400
+
+
+class Caller:
+    """`timeouts`: op type -> seconds. Each op bears an id of its own and its proxy's name."""
+
+    def __init__(self, ident, timeouts, record, clock, seed):
+        self.ident, self.timeouts, self.record, self.clock = ident, timeouts, record, clock
+        self.chance, self.count, self.out, self.channel = random.Random(seed), 0, 0, None
+
+    def dial(self, address):
+        self.channel = grpc.aio.insecure_channel(address, options=[
+            ("grpc.enable_retries", 0), ("grpc.use_local_subchannel_pool", 1)])
+
+    async def op(self, op_type):
+        self.count += 1
+        ident, began, again = f"{self.ident}-{self.count}", self.clock(), ""
+        self.out += 1
+        outcome = "given-up"
+        try:
+            await self.channel.unary_unary(f"/foxstep.Ops/{op_type}")(
+                json.dumps({"id": ident, "proxy": self.ident}).encode(), timeout=self.timeouts[op_type])
+            outcome = "acked"
+        except grpc.RpcError as error:
+            outcome = error.code().name.lower().replace("_", "-")
+            again = dict(error.trailing_metadata() or ()).get("grpc-retry-pushback-ms", "")
+            if outcome == "resource-exhausted" and error.details() == "not let in":
+                outcome = "rejected"
+        finally:
+            self.out -= 1
+            self.record("op", proxy=self.ident, op=ident, op_type=op_type, began=began, outcome=outcome,
+                        took=self.clock() - began, tries=-1, again=again)
+
+    async def drive(self, mix, rate_now):
+        """Ops at `rate_now(self)` a second, until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await anyio.sleep(self.chance.expovariate(max(rate_now(self), 0.01)))
+                if self.out < MOST_OUT:
+                    op_type = self.chance.choices(list(mix), list(mix.values()))[0]
+                    group.start_soon(self.op, op_type)
