--- a/foxstep/commands/drill.py
+++ b/foxstep/commands/drill.py
@@ -7,6 +7,7 @@
 import anyio
 import click
 
+from foxstep.commands import logs
 from foxstep.drills.audit import Audit
 from foxstep.drills.notation import read_day
 from foxstep.drills.player import Player
@@ -39,6 +40,10 @@
         for at, text in verdict.breaks[:3]:
             click.echo(f"         {at - audit.begin:6.1f} s: {text}"
                        + (f" (and {len(verdict.breaks) - 3} more)" if text == verdict.breaks[2:3] else ""))
+    chi, degrees, bound = audit.picks()
+    if degrees:
+        held &= chi <= bound
+        click.echo(f"  picks against weights: chi-square {chi:.0f} on {degrees} degrees (bound {bound:.0f})")
     for at, version, bound, took, there, missing in audit.convergence():
         held &= not missing
         click.echo(f"  rollback at {at - audit.begin:.1f} s to {version}: {there} proxies hold it after "
@@ -57,6 +62,7 @@
 
 
 def run(name, seconds, folder, break_rule, baseline, seed):
+    logs.set_up("people", "error")  # what its proxies log of the bad day is in the record
     folder = folder or tempfile.mkdtemp(prefix="foxstep-drill-")
     off = [GUARDS[break_rule]] if break_rule else []
     audit = play(name, seconds, folder, off, "balance", seed)
--- a/foxstep/commands/line.py
+++ b/foxstep/commands/line.py
@@ -213,3 +213,11 @@
     """Measure what versions cost in memory and in the store, beside plain copies."""
     from foxstep.measure.tables import run
     run()
+
+
+@main.command("measure-proxy")
+@click.option("--seconds", type=click.FloatRange(1, 60), default=4, help="for each way")
+def measure_proxy(seconds):
+    """Measure the proxy beside a direct client and a bare pass-through, and what a pick costs."""
+    from foxstep.measure.proxy import run
+    run(seconds)
--- a/foxstep/drills/audit.py
+++ b/foxstep/drills/audit.py
@@ -212,6 +212,33 @@
                 verdict.broken(self.begin, "nothing to judge: no tables, no effects or no list crossed")
         return made
 
+    # -- picks
+
+    def picks(self):
+        """(chi-square of picks against weights, degrees, its bound at one in a thousand), over the stretches
+        in which a proxy's table stood, the day was calm yet and picks were enough to tell."""
+        calm = min([r["t"] for r in self.rows["event"] if r["t"] > self.begin], default=self.end)
+        tables = defaultdict(list)
+        for row in self.rows["table"]:
+            tables[row["proxy"]].append((row["t"], dict(zip(row["servers"], row["weights"], strict=True))))
+        sent = defaultdict(list)
+        for row in self.rows["sent"]:
+            sent[row["proxy"]].append((row["t"], row["server"]))
+        chi, degrees = 0.0, 0
+        for proxy, rows in sent.items():
+            stands = tables[proxy]
+            for k, (at, weights) in enumerate(stands):
+                until = min(calm, stands[k + 1][0] if k + 1 < len(stands) else calm)
+                counts = Counter(server for t, server in rows if at + 0.05 <= t < until)
+                n, total = sum(counts.values()), sum(weights.values())
+                if len(weights) < 2 or any(n * w / total < 1 for w in weights.values()):
+                    continue
+                chi += sum((counts[s] - n * w / total) ** 2 / (n * w / total) for s, w in weights.items())
+                degrees += len(weights) - 1
+        # Wilson and Hilferty: the cube root of chi-square over degrees is nearly normal.
+        spread = 2 / (9 * degrees) if degrees else 0.0
+        return chi, degrees, degrees * (1 - spread + 3.09 * spread ** 0.5) ** 3
+
     # -- versions
 
     def convergence(self):
--- a/foxstep/proxy/control.py
+++ b/foxstep/proxy/control.py
@@ -15,6 +15,7 @@
 from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
 from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
 from envoy.service.rate_limit_quota.v3 import rlqs_pb2, rlqs_pb2_grpc
+from google.protobuf.message import DecodeError
 
 from foxstep.proxy.table import Refused
 from foxstep.proxy.tries import NEVER, ONCE, PROVEN, TWICE
@@ -107,6 +108,12 @@
 
     def take(self, response):
         """Takes a response in; answers how many lines it was. Raises Refused: then nothing has changed."""
+        try:
+            return self.take_sound(response)
+        except DecodeError as error:
+            raise Refused(f"not to be read: {error}"[:200]) from None
+
+    def take_sound(self, response):
         if response.type_url == LINE:
             changed = {}
             for resource in response.resources:
--- a/foxstep/proxy/forward.py
+++ b/foxstep/proxy/forward.py
@@ -1,8 +1,10 @@
 """Forwards ops: level, pick, try, perhaps a further try, answer. Bytes go on untouched."""
 
 import asyncio
+import base64
 import re
 
+from google.protobuf.message import DecodeError
 from xds.data.orca.v3 import orca_load_report_pb2
 
 from foxstep.proxy.upstream import Ended, Pool
@@ -186,10 +188,9 @@
     """A server's ORCA report among an answer's trailers, or None."""
     for name, value in headers:
         if name == LOAD:
-            import base64
             try:
                 data = base64.b64decode(value + b"=" * (-len(value) % 4))
                 return orca_load_report_pb2.OrcaLoadReport.FromString(data)
-            except ValueError:
+            except (ValueError, DecodeError):
                 return None  # bytes that are no report say nothing
     return None
--- a/foxstep/proxy/pick.py
+++ b/foxstep/proxy/pick.py
@@ -22,7 +22,7 @@
     def __init__(self, seed=0, shun_after=0, shun_for=0):
         self.seed, self.shun_after, self.shun_for = seed, shun_after, shun_for
         self.lines, self.heap, self.turn, self.at = {}, [], 0, 0.0  # `at`: the deadline picked last
-        self.failed_row, self.shunned = {}, {}
+        self.failed_row, self.shunned, self.entries = {}, {}, 0
 
     def set(self, lines):
         """Replaces the table (server -> weight; none at or below 0). A line that stays keeps its place: the
@@ -34,8 +34,10 @@
         for server, weight in lines.items():
             line = self.lines.get(server)
             if line is None:
-                # Where in its first round it begins differs from proxy to proxy: they would all begin alike.
-                phase = (crc32(f"{self.seed} {server}".encode()) + 1) / 2**32
+                # Where in its first round it begins is by chance: proxies would all begin alike, and a line
+                # that comes and goes would get the same part of each of its rounds.
+                self.entries += 1
+                phase = (crc32(f"{self.seed} {server} {self.entries}".encode()) + 1) / 2**32
                 line = self.lines[server] = Line(server, weight, self.at + phase / weight, 0)
                 self.push(line)
             elif line.weight != weight:
