--- a/foxstep/xds/front.py
+++ b/foxstep/xds/front.py
@@ -127,9 +127,8 @@
             weights = self.weights()[0]
             if pattern not in names or self.holding is None or not weights:
                 return None
-            zone_of = self.front.zone_of
             return {resources.line_name(pattern, s): (str(resources.thousandths(w)),
-                                                      resources.line(s, w, zone_of(s)))
+                                                      resources.line(s, w))
                     for s, w in weights.items()}
         made = self.render(kind, names)
         return {name: (blake2b(message.SerializeToString(deterministic=True), digest_size=8).hexdigest(),
--- a/foxstep/xds/resources.py
+++ b/foxstep/xds/resources.py
@@ -102,14 +102,13 @@
     return f"{COLLECTION}{site_name}/{table}/*"
 
 
-def line(server, weight, zone):
+def line(server, weight):
     """One line as a resource of its own."""
     made = endpoint_components_pb2.LbEndpoint(health_status=health_check_pb2.HEALTHY)
     made.load_balancing_weight.value = thousandths(weight)
     host, _, port = server.rpartition(":")
     address = made.endpoint.address.socket_address
     address.address, address.port_value = host.strip("[]"), int(port)
-    made.metadata.filter_metadata["foxstep"].update({"zone": zone})
     return made
 
 
