--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -271,6 +271,8 @@
         if now >= self.next_round:
             self.lag = max(self.lag, now - self.next_round)
             self.next_round = max(self.next_round + self.site["cycle"], now + self.site["cycle"] // 2)
+            if self.channel.owed:  # the channel could not take what was ordered: no version to go back to
+                self.desk.evidence.rule_broken(now)
             if self.intake.round(self.controller, now, self.desk.evidence):
                 self.stir("reports")
         while (ident := self.repairs.next_due(now)) is not None:
