Proxy: shares by an assignment's drops, the next controller, standing still, idle connections; epochs apart

Change: incremental clients get levels as assignments without lines, and the proxy reads their drops; an epoch's last part is the controller's own number; tests for a lost controller, a burst of tables while the loop is busy, idle and leaving connections, a server that comes back under its address.

--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -52,7 +52,7 @@
         self.log = structlog.get_logger("foxstep.live")
         now = clock()
         self.wall_offset = wall() - now
-        self.store = Store(directory, wall) if directory else Nowhere(wall)
+        self.store = Store(directory, wall, me=site["me"]) if directory else Nowhere(wall, site["me"])
         self.epoch = self.store.epoch
         # Without its guard the queue is no matter: the module is told that the channel takes all at once.
         told = {**site, "backlog": 1e9, "lines_per_s": 1e9} if "queue" in self.off else site
--- a/foxstep/measure/proxy.py
+++ b/foxstep/measure/proxy.py
@@ -7,13 +7,17 @@
 import sys
 import time
 
+import anyio
 import click
 import grpc
 from hdrh.histogram import HdrHistogram
 
 from foxstep.measure.fleet import used
 from foxstep.proxy.pick import Picker
+from foxstep.proxy.program import Proxy
+from foxstep.site import read_site
 from foxstep.site.load import EXAMPLES
+from foxstep.standins.lists import ListService
 
 SERVER = """
 import asyncio, grpc, sys
@@ -131,3 +135,38 @@
 def run(seconds):
     ways(seconds)
     picking()
+    asyncio.run(many(50))
+
+
+async def many(count):
+    """MiB that each of `count` joined proxies in one process takes beyond the first."""
+    path, idents = os.path.join(EXAMPLES, "loopback.jsonnet"), [f"127.0.0.1:{7000 + k}" for k in range(110)]
+    site = read_site(path)
+    lists = ListService(lambda *_, **__: None, time.monotonic, 0.0)
+    await lists.start()
+    for ident in idents:
+        lists.set(ident, "east", "plain", "open", at_once=True)
+    controller, port = process("-m", "foxstep", "--level", "error", "serve", path, "--tell",
+                               "--list", f"127.0.0.1:{lists.port}")
+    op_types = [{"name": o.name, "method": ""} for o in site.op_types]
+    proxies, sizes = [], []
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(lists.run)
+            for k in range(count):
+                proxies.append(Proxy(f"p{k}", "east", site.plain(), site.name, op_types,
+                                     [f"127.0.0.1:{port}"], [], time.monotonic))
+                group.start_soon(proxies[-1].run)
+                if k in (0, count - 1):
+                    with anyio.fail_after(30):
+                        while not all(p.table.lines for p in proxies):
+                            await anyio.sleep(0.05)
+                    sizes.append(used(os.getpid())[1])
+            group.cancel_scope.cancel()
+    finally:
+        controller.terminate()
+        controller.wait()
+        with anyio.CancelScope(shield=True):
+            await lists.server.stop(None)
+    click.echo(f"\n{count} joined proxies in one process, {len(proxies[0].table.lines)} lines each or so: "
+               f"{sizes[1]:.0f} MiB, {(sizes[1] - sizes[0]) / (count - 1):.2f} MiB a proxy beyond the first")
--- a/foxstep/proxy/control.py
+++ b/foxstep/proxy/control.py
@@ -10,7 +10,7 @@
 import grpc
 import structlog
 from envoy.config.core.v3 import base_pb2
-from envoy.config.endpoint.v3 import endpoint_components_pb2
+from envoy.config.endpoint.v3 import endpoint_components_pb2, endpoint_pb2
 from envoy.config.route.v3 import route_pb2
 from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
 from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
@@ -21,6 +21,7 @@
 from foxstep.proxy.tries import NEVER, ONCE, PROVEN, TWICE
 
 PREFIX = "type.googleapis.com/envoy.config."
+LEVELS = PREFIX + "endpoint.v3.ClusterLoadAssignment"  # of an assignment only its drops are read
 ROUTES, LINE = PREFIX + "route.v3.RouteConfiguration", PREFIX + "endpoint.v3.LbEndpoint"
 FEATURES = ["foxstep.quotas", "foxstep.tables"]
 MICRO = 1_000_000
@@ -41,6 +42,15 @@
     return TWICE if policy.num_retries.value > 1 else ONCE
 
 
+def share_of(policy):
+    """What a policy's drops let in, one after the other."""
+    share = 1.0
+    for overload in policy.drop_overloads:
+        whole = (100, 10_000, 1_000_000)[min(overload.drop_percentage.denominator, 2)]
+        share *= 1 - min(overload.drop_percentage.numerator / whole, 1.0)
+    return share
+
+
 class Control:
     """`redial`: (least, most) seconds before dialling again. `stall`: seconds that the proxy stands still
     for each line that it is sent. `forwarder` gets what its tables, ways and levels say."""
@@ -91,6 +101,8 @@
             initial_resource_versions=held))
         await call.write(discovery_pb2.DeltaDiscoveryRequest(
             type_url=ROUTES, resource_names_subscribe=[self.site_name]))
+        await call.write(discovery_pb2.DeltaDiscoveryRequest(
+            type_url=LEVELS, resource_names_subscribe=[o["name"] for o in self.op_types]))
         while (response := await call.read()) is not grpc.aio.EOF:
             self.joined = True
             answer = discovery_pb2.DeltaDiscoveryRequest(type_url=response.type_url,
@@ -130,6 +142,15 @@
             lines = self.table.take(response.system_version_info, changed, removed)
             self.forwarder.table(self.table.lines)
             return lines
+        if response.type_url == LEVELS:
+            shares = {}
+            for resource in response.resources:
+                made = endpoint_pb2.ClusterLoadAssignment()
+                if resource.resource.Unpack(made) and made.cluster_name in {o["name"] for o in self.op_types}:
+                    shares[made.cluster_name] = share_of(made.policy)
+            for op_type, share in shares.items():
+                self.forwarder.levels.share(op_type, share)
+            return 0
         for resource in response.resources:
             routes = route_pb2.RouteConfiguration()
             if resource.resource.Unpack(routes) and routes.virtual_hosts:
--- a/foxstep/store/store.py
+++ b/foxstep/store/store.py
@@ -14,7 +14,7 @@
 
 from foxstep.store import form
 from foxstep.tables.ledger import Entry
-from foxstep.tables.version import Version
+from foxstep.tables.version import CONTROLLERS, Version, epoch_after
 
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS starts (one INTEGER PRIMARY KEY CHECK (one = 1), epoch INTEGER);
@@ -29,13 +29,18 @@
 AT_ONCE = 256           # writes in one transaction
 
 
+def first_epoch(wall):
+    """Where nothing was kept: the wall clock's seconds."""
+    return wall() // 1_000_000 * CONTROLLERS
+
+
 class Store:
     """`keep`: entries of history. What was sound is read at once, into `entries`, `rollbacks`, `holders`,
     `lines`; `unsound` tells in words what was not."""
 
-    def __init__(self, directory, wall, keep=1000, pages=0):
+    def __init__(self, directory, wall, keep=1000, pages=0, me=0):
         os.makedirs(directory, exist_ok=True)
-        self.path, self.keep, self.wall = os.path.join(directory, "tables.db"), keep, wall
+        self.path, self.keep, self.wall, self.me = os.path.join(directory, "tables.db"), keep, wall, me
         self.former, self.pages = self.path + ".former", pages
         self.log = structlog.get_logger("foxstep.store")
         self.unsound, self.failing, self.written, self.lost = [], "", 0, 0
@@ -100,7 +105,7 @@
         """A number that grows with every start, from here or, where nothing was kept, from the wall clock."""
         row = self.base.execute("SELECT epoch FROM starts").fetchone()
         newest = self.base.execute("SELECT max(epoch) FROM entries").fetchone()[0] or 0
-        epoch = max(row[0] + 1, newest + 1) if row else max(self.wall() // 1_000_000, newest + 1)
+        epoch = epoch_after(max(row[0], newest) if row else max(first_epoch(self.wall), newest), self.me)
         self.attempt("the count of starts", lambda: self.base.execute(
             "INSERT INTO starts VALUES (1, ?) ON CONFLICT (one) DO UPDATE SET epoch = ?", (epoch, epoch)))
         return epoch
@@ -289,8 +294,8 @@
 class Nowhere:
     """A controller without a folder keeps nothing."""
 
-    def __init__(self, wall):
-        self.epoch, self.entries, self.rollbacks = wall() // 1_000_000, [], []
+    def __init__(self, wall, me=0):
+        self.epoch, self.entries, self.rollbacks = epoch_after(first_epoch(wall), me), [], []
         self.holders, self.lines = {}, []
         self.failing, self.lost, self.written = "", 0, 0
 
--- a/foxstep/tables/desk.py
+++ b/foxstep/tables/desk.py
@@ -25,7 +25,7 @@
         self.site = site
         self.transit = site["transit_most"]
         self.lag = self.transit + 2 * site["cycle"]
-        self.ledger, self.rollbacks = Ledger(epoch, keep), Rollbacks()
+        self.ledger, self.rollbacks = Ledger(epoch, keep, site["me"]), Rollbacks()
         self.evidence = Evidence(self.lag)
         self.allowed, self.fresh = {}, {}   # as last told; proxies to be shaped anew, as a set in order
         self.on_entry = self.on_rollback = lambda _: None  # the store's doors
--- a/foxstep/tables/ledger.py
+++ b/foxstep/tables/ledger.py
@@ -10,7 +10,7 @@
 
 from immutables import Map
 
-from foxstep.tables.version import Version
+from foxstep.tables.version import Version, epoch_after
 
 WEIGHT_UNIT = 1000     # weights are hashed, and written, as whole thousandths
 IN_FLIGHT = 64         # tables remembered as under way to one proxy
@@ -81,8 +81,8 @@
 
 
 class Ledger:
-    def __init__(self, epoch, keep=1000):
-        self.epoch, self.keep, self.count = epoch, keep, 0
+    def __init__(self, epoch, keep=1000, me=0):
+        self.epoch, self.keep, self.me, self.count = epoch, keep, me, 0
         self.entries = OrderedDict()      # Version -> Entry, oldest first
         self.fleet = EMPTY                # proxy -> Table, the newest
         self.holders = {}
@@ -139,7 +139,7 @@
     def outrank(self, seen):
         """A proxy holds a version of another controller's, or of a life that the store has lost."""
         if seen.epoch > self.epoch:
-            self.epoch, self.count = seen.epoch + 1, 0
+            self.epoch, self.count = epoch_after(seen.epoch, self.me), 0
             return True
         return False
 
--- a/foxstep/tables/version.py
+++ b/foxstep/tables/version.py
@@ -25,7 +25,11 @@
         return cls(int(found[1]), int(found[2]))
 
 
-def epoch_after(own, seen):
-    """An epoch that a version seen at a proxy cannot outrank. Guards against a store that was lost and a wall
-    clock that stepped back, either of which would start a controller below what its proxies hold."""
-    return max(own, seen + 1)
+CONTROLLERS = 64        # controllers of one site that can tell their epochs apart
+
+
+def epoch_after(seen, me):
+    """The first epoch of controller `me` above `seen`, and of no other controller. Guards against a store
+    that was lost and a wall clock that stepped back, either of which would start a controller below what
+    proxies hold, and against two controllers that start within one second."""
+    return (seen // CONTROLLERS + 1) * CONTROLLERS + me % CONTROLLERS
--- a/foxstep/xds/front.py
+++ b/foxstep/xds/front.py
@@ -131,6 +131,8 @@
                                                       resources.line(s, w))
                     for s, w in weights.items()}
         made = self.render(kind, names)
+        if kind == resources.LINES:
+            made = {name: resources.levels_only(one, self.front.site_name) for name, one in made.items()}
         return {name: (blake2b(message.SerializeToString(deterministic=True), digest_size=8).hexdigest(),
                        message) for name, message in made.items()}
 
--- a/foxstep/xds/resources.py
+++ b/foxstep/xds/resources.py
@@ -125,6 +125,16 @@
     return content_hash(lines)
 
 
+def levels_only(assignment, site_name):
+    """An assignment for an incremental client: its level, and where its lines are to be had."""
+    del assignment.endpoints[:]
+    locality = assignment.endpoints.add()
+    locality.leds_cluster_locality_config.leds_config.CopyFrom(ads())
+    locality.leds_cluster_locality_config.leds_collection_name = collection(site_name, EVERY)
+    locality.load_balancing_weight.value = 1
+    return assignment
+
+
 def node(ident, zone, **metadata):
     """A client's own description, as our stand-ins and tools send it."""
     made = base_pb2.Node(id=ident, user_agent_name="foxstep")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -283,3 +283,107 @@
         running.proxy.forwarder.table({server.ident: 1})
         assert (await running.op())[0] == b"done"
     other.close()
+
+
+async def test_a_share_reaches_it_by_an_assignments_drops():
+    raw = await Raw("ok done").open()
+    site = read_site(SITE)
+    async with controller(level="share", cycle=100_000) as (host, address):
+        host.listed("whole", open_lines(raw.ident))
+        proxy = Proxy("p", "east", site.plain(), site.name, OP_TYPES, [address], [], time.monotonic)
+        async with anyio.create_task_group() as group:
+            group.start_soon(proxy.run)
+            await until(lambda: raw.ident in proxy.table.lines)
+
+            def order(quota):
+                host.book.admit(host.clock(), "p", 4, quota, 0)
+                for message in host.book.close_batch():
+                    host.channel.offer(host.clock(), message)
+                host.stir("test")
+
+            order(0.0)
+            await until(lambda: proxy.forwarder.levels.shares.get("pay-out") == 0.0)
+            async with grpc.aio.insecure_channel(f"127.0.0.1:{proxy.door.port}") as channel:
+                with pytest.raises(grpc.RpcError) as refused:
+                    await channel.unary_unary("/any.Service/pay-out")(b"x", timeout=2)
+                assert refused.value.code() == grpc.StatusCode.RESOURCE_EXHAUSTED
+                assert await channel.unary_unary("/any.Service/look-up")(b"x", timeout=2) == b"done"
+                order(1.0)
+                await until(lambda: proxy.forwarder.levels.shares.get("pay-out") == 1.0)
+                assert await channel.unary_unary("/any.Service/pay-out")(b"x", timeout=2) == b"done"
+            group.cancel_scope.cancel()
+
+
+async def test_a_lost_controller_is_followed_by_the_next_and_its_table_by_a_change_or_a_whole():
+    raws = [await Raw("ok done").open() for _ in range(3)]
+    idents = [r.ident for r in raws]
+    site = read_site(SITE)
+    async with controller(cycle=100_000) as (first, one), controller(cycle=100_000, me=1) as (second, two):
+        first.listed("whole", open_lines(*idents))
+        second.listed("whole", open_lines(*idents[:2]))
+        proxy = Proxy("p", "east", site.plain(), site.name, OP_TYPES, ["127.0.0.1:9", one, two], [],
+                      time.monotonic, redial=(0.05, 0.1))
+        async with anyio.create_task_group() as group:
+            group.start_soon(proxy.run)
+            await until(lambda: "p" in first.joins and set(proxy.table.lines) == set(idents), 10)
+            held = proxy.table.name
+            first.front.streams["p"].end("gone for the test")
+            await until(lambda: "p" in second.joins and set(proxy.table.lines) == set(idents[:2]), 10)
+            assert proxy.table.name != held and proxy.control.refusals == 0
+            assert second.desk.ledger.epoch >= first.desk.ledger.epoch, "what it held is outranked"
+            group.cancel_scope.cancel()
+
+
+async def test_it_stands_still_for_each_line_and_a_burst_of_tables_is_taken_one_after_the_other():
+    raws = [await Raw("ok done").open() for _ in range(6)]
+    idents = [r.ident for r in raws]
+    site, now = read_site(SITE), [100.0]
+    async with controller(cycle=100_000, lines_per_s=50_000.0) as (host, address):
+        host.listed("whole", open_lines(*idents))
+        proxy = Proxy("p", "east", site.plain(), site.name, OP_TYPES, [address], [], lambda: now[0],
+                      stall=0.25)
+        async with anyio.create_task_group() as group:
+            group.start_soon(proxy.run)
+            await until(lambda: proxy.table.lines)
+            lines = len(proxy.table.lines)
+            assert proxy.forwarder.still_until == 100.0 + 0.25 * lines
+            for k in range(40):
+                host.listed("changes", [*open_lines(idents[k % 6], state="draining"),
+                                        *open_lines(idents[(k - 1) % 6])])
+                time.sleep(0.002)  # the loop is busy: the assignments pile up
+            await until(lambda: idents[39 % 6] not in proxy.table.lines and not host.desk.ledger.behind())
+            assert proxy.table.lines == {s: round(w * 1000) for s, w in
+                                         host.desk.ledger.table("p").lines.items()}
+            assert proxy.control.refusals == 0
+            group.cancel_scope.cancel()
+
+
+async def test_idle_connections_and_those_of_servers_that_left_are_closed():
+    first, other = await Raw("ok done").open(), await Raw("ok done").open()
+    async with Running([first.ident, other.ident]) as running:
+        forwarder = running.proxy.forwarder
+        assert [(await running.op())[0] for _ in range(4)] == [b"done"] * 4
+        pool = forwarder.pools[first.ident]
+        assert len(pool.open) == 1
+        forwarder.close_idle()
+        assert len(pool.open) == 1, "not idle for long enough"
+        pool.idle = -1.0
+        forwarder.close_idle()
+        await until(lambda: not pool.open)
+        gone = forwarder.pools[other.ident]
+        forwarder.table({first.ident: 1000})
+        await until(lambda: not gone.open)
+        assert (await running.op())[0] == b"done"
+
+
+async def test_a_server_that_comes_back_under_its_address_is_dialled_anew():
+    raw = await Raw("ok done").open()
+    async with Running([raw.ident]) as running:
+        assert (await running.op())[0] == b"done"
+        raw.server.close()
+        for writer in raw.writers:
+            writer.transport.abort()
+        await until(lambda: not running.proxy.forwarder.pools[raw.ident].open)
+        assert (await running.op())[0] == "UNAVAILABLE"
+        await raw.open()
+        assert (await running.op())[0] == b"done"
