--- a/foxstep/proxy/door.py
+++ b/foxstep/proxy/door.py
@@ -77,7 +77,7 @@
 
     def __init__(self, door):
         self.door, self.wire = door, h2.connection.H2Connection(config=CONFIG)
-        self.transport, self.ops, self.gone = None, {}, False
+        self.transport, self.ops, self.gone, self.flushing = None, {}, False, False
 
     def connection_made(self, transport):
         self.transport = transport
@@ -90,6 +90,13 @@
         self.flush()
 
     def flush(self):
+        """Writes what is to be written once this turn of the loop is over: headers and body in one piece."""
+        if not self.flushing:
+            self.flushing = True
+            asyncio.get_running_loop().call_soon(self.write_out)
+
+    def write_out(self):
+        self.flushing = False
         data = self.wire.data_to_send()
         if data and not self.gone:
             self.transport.write(data)
@@ -98,7 +105,7 @@
         try:
             events = self.wire.receive_data(data)
         except h2.exceptions.ProtocolError:
-            self.flush()
+            self.write_out()
             self.transport.close()
             return
         for event in events:
@@ -209,4 +216,6 @@
         for client in list(self.clients):
             for op in list(client.ops.values()):
                 op.task.cancel()
+            await asyncio.sleep(0)
+            client.write_out()
             client.transport.close()
--- a/foxstep/proxy/upstream.py
+++ b/foxstep/proxy/upstream.py
@@ -80,7 +80,7 @@
 class Connection(asyncio.Protocol):
     def __init__(self, pool):
         self.pool, self.wire = pool, h2.connection.H2Connection(config=CONFIG)
-        self.transport, self.tries, self.gone, self.going = None, {}, False, False
+        self.transport, self.tries, self.gone, self.going, self.flushing = None, {}, False, False, False
         self.idle_since = pool.clock()
         self.most = pool.streams
 
@@ -91,6 +91,13 @@
         self.flush()
 
     def flush(self):
+        """Writes what is to be written once this turn of the loop is over: headers and body in one piece."""
+        if not self.flushing:
+            self.flushing = True
+            asyncio.get_running_loop().call_soon(self.write_out)
+
+    def write_out(self):
+        self.flushing = False
         data = self.wire.data_to_send()
         if data and not self.gone:
             self.transport.write(data)
@@ -185,6 +192,7 @@
 
     def close(self):
         if not self.gone:
+            self.write_out()
             self.transport.close()
 
 
