One place for answered nonces and for writes of the proxy's ends; the tables commands tested whole

Need: two sessions and two connection ends repeated each other; the command line was tried by hand only. Change: session.taken and proxy/wired.py; a test drives put, show, diff, rollback, list, unpin and their refusals through the command itself against a live controller.

--- a/foxstep/proxy/door.py
+++ b/foxstep/proxy/door.py
@@ -9,6 +9,8 @@
 import h2.exceptions
 import h2.settings
 
+from foxstep.proxy.wired import Wired
+
 CONFIG = h2.config.H2Configuration(client_side=False, header_encoding=None, validate_inbound_headers=True,
                                    normalize_outbound_headers=False)
 STREAMS = 256               # ops at once on one client's connection
@@ -72,12 +74,12 @@
             self.head([(b":status", b"200"), (b"content-type", b"application/grpc"), *told], True)
 
 
-class Client(asyncio.Protocol):
+class Client(Wired):
     """One client's connection. `handle(op)` is awaited in a task for each op."""
 
     def __init__(self, door):
-        self.door, self.wire = door, h2.connection.H2Connection(config=CONFIG)
-        self.transport, self.ops, self.gone, self.flushing = None, {}, False, False
+        super().__init__(h2.connection.H2Connection(config=CONFIG))
+        self.door, self.ops = door, {}
 
     def connection_made(self, transport):
         self.transport = transport
@@ -89,18 +91,6 @@
         self.wire.increment_flow_control_window(4 * 2**20)
         self.flush()
 
-    def flush(self):
-        """Writes what is to be written once this turn of the loop is over: headers and body in one piece."""
-        if not self.flushing:
-            self.flushing = True
-            asyncio.get_running_loop().call_soon(self.write_out)
-
-    def write_out(self):
-        self.flushing = False
-        data = self.wire.data_to_send()
-        if data and not self.gone:
-            self.transport.write(data)
-
     def data_received(self, data):
         try:
             events = self.wire.receive_data(data)
--- a/foxstep/proxy/upstream.py
+++ b/foxstep/proxy/upstream.py
@@ -8,6 +8,8 @@
 import h2.events
 import h2.exceptions
 
+from foxstep.proxy.wired import Wired
+
 WINDOW = 256 * 1024
 CONFIG = h2.config.H2Configuration(client_side=True, header_encoding=None, validate_inbound_headers=False,
                                    normalize_outbound_headers=False)
@@ -77,10 +79,10 @@
                     pass  # it ended by itself meanwhile
 
 
-class Connection(asyncio.Protocol):
+class Connection(Wired):
     def __init__(self, pool):
-        self.pool, self.wire = pool, h2.connection.H2Connection(config=CONFIG)
-        self.transport, self.tries, self.gone, self.going, self.flushing = None, {}, False, False, False
+        super().__init__(h2.connection.H2Connection(config=CONFIG))
+        self.pool, self.tries, self.going = pool, {}, False
         self.idle_since = pool.clock()
         self.most = pool.streams
 
@@ -90,18 +92,6 @@
         self.wire.increment_flow_control_window(16 * WINDOW)
         self.flush()
 
-    def flush(self):
-        """Writes what is to be written once this turn of the loop is over: headers and body in one piece."""
-        if not self.flushing:
-            self.flushing = True
-            asyncio.get_running_loop().call_soon(self.write_out)
-
-    def write_out(self):
-        self.flushing = False
-        data = self.wire.data_to_send()
-        if data and not self.gone:
-            self.transport.write(data)
-
     def start(self, headers, end):
         """Opens a stream with its headers. Raises Ended("unsent") where nothing could be handed over."""
         if self.gone or self.going:
--- a/foxstep/xds/delta.py
+++ b/foxstep/xds/delta.py
@@ -12,7 +12,7 @@
 
 from foxstep.tables.ledger import content_hash
 from foxstep.xds import resources
-from foxstep.xds.session import MOST_NAMES, MOST_UNANSWERED, TooMany
+from foxstep.xds.session import MOST_NAMES, MOST_UNANSWERED, TooMany, taken
 
 ORDER = [resources.LISTENER, resources.CLUSTER, resources.LINES, resources.LINE, resources.ROUTES]
 
@@ -57,15 +57,10 @@
         return answer
 
     def answer(self, known, request):
-        if request.response_nonce not in [nonce for nonce, _, _ in known.unanswered]:
+        found = taken(known.unanswered, request.response_nonce)
+        if found is None:
             return None
-        marks, ordered, version = [], [], None
-        while known.unanswered:
-            nonce, carried, version = known.unanswered.popleft()
-            marks += carried
-            ordered += [at for at in (int(nonce.split(".")[2]),) if at]
-            if nonce == request.response_nonce:
-                break
+        marks, ordered, version = found
         if request.HasField("error_detail"):
             # Later changes build on what it refused: they would be refused too. The host orders a whole one.
             known.waits, known.whole = request.type_url == resources.LINE, True
--- a/foxstep/xds/session.py
+++ b/foxstep/xds/session.py
@@ -20,6 +20,20 @@
     """The client asks for more than a proxy has use for."""
 
 
+def taken(unanswered, nonce):
+    """What is answered with the response of that nonce, it and all before it: (marks, times at which it was
+    ordered, its version), or None for a nonce that is none of ours or was answered already. `unanswered`
+    holds (nonce, marks, version), oldest first; a nonce's third part is the time that its order was given."""
+    if nonce not in [sent for sent, _, _ in unanswered]:
+        return None
+    marks, ordered, version, sent = [], [], None, None
+    while sent != nonce:
+        sent, carried, version = unanswered.popleft()
+        marks += carried
+        ordered += [at for at in (int(sent.split(".")[2]),) if at]
+    return marks, ordered, version
+
+
 class Subscription:
     def __init__(self):
         self.names, self.nonce, self.version = [], "", 0
@@ -59,16 +73,10 @@
         return answer
 
     def answer(self, known, request):
-        nonces = [nonce for nonce, _, _ in known.unanswered]
-        if request.response_nonce not in nonces:
+        found = taken(known.unanswered, request.response_nonce)
+        if found is None:
             return None
-        marks, ordered, version = [], [], None
-        while known.unanswered:
-            nonce, carried, version = known.unanswered.popleft()
-            marks += carried
-            ordered += [at for at in (int(nonce.split(".")[2]),) if at]
-            if nonce == request.response_nonce:
-                break
+        marks, ordered, version = found
         known.refused = request.HasField("error_detail")
         if known.refused:
             known.sent = None  # what it holds is older: all of it is to be written again
--- a/tests/live.py
+++ b/tests/live.py
@@ -12,6 +12,7 @@
 from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
 
 from foxstep.live.host import Host
+from foxstep.operate.service import OperatorService
 from foxstep.site import read_site
 from foxstep.site.load import EXAMPLES
 from foxstep.xds import resources
@@ -53,6 +54,7 @@
     front = Front(host, site.name, [{"name": o.name, "method": ""} for o in site.op_types])
     server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
     front.add_to(server)
+    server.add_generic_rpc_handlers((OperatorService(host),))
     port = server.add_insecure_port(f"127.0.0.1:{port}")
     await server.start()
     host.front = front
--- a/tests/test_rollback.py
+++ b/tests/test_rollback.py
@@ -1,11 +1,13 @@
 """Rollbacks through a live controller, over real sockets, by the operator's service."""
 
+import sys
+
 import anyio
 import grpc
 import pytest
 from live import SERVERS, Client, anyio_backend, collected, controller, open_lines, until  # noqa: F401
 
-from foxstep.operate.service import TABLES, OperatorService
+from foxstep.operate.service import TABLES, OperatorService, ask
 
 pytestmark = pytest.mark.anyio
 
@@ -138,11 +140,6 @@
 async def test_an_operators_wrong_order_is_one_line_and_changes_nothing():
     async with controller() as (host, address):
         change(host)
-        server = grpc.aio.server()
-        server.add_generic_rpc_handlers((OperatorService(host),))
-        port = server.add_insecure_port("127.0.0.1:0")
-        await server.start()
-        from foxstep.operate.service import ask
         for verb, question, told in [
                 ("rollback", {"scope": "fleet", "version": "9.9"}, "no version 9.9 in the history"),
                 ("rollback", {"scope": "fleet", "version": "yesterday"}, "expected a version such as"),
@@ -151,7 +148,41 @@
                 ("put", {"scope": "fleet", "lines": {"127.0.0.1:1": 1}}, "no such server"),
                 ("unpin", {"scope": "fleet"}, "nothing holds"), ("diff", {"old": "1.1"}, "'new' is missing")]:
             with pytest.raises(grpc.RpcError) as error:
-                await ask(f"127.0.0.1:{port}", TABLES[verb], question)
+                await ask(address, TABLES[verb], question)
             assert told in error.value.details() and "\n" not in error.value.details()
         assert not host.desk.rollbacks.all
-        await server.stop(None)
+
+
+async def test_the_command_line_lists_shows_differs_rolls_back_and_lets_go():
+    async def foxstep(*words, exits=0):
+        done = await anyio.run_process([sys.executable, "-m", "foxstep", *words], check=False)
+        text = (done.stdout + done.stderr).decode()
+        assert done.returncode == exits, text
+        return text
+
+    async with controller(transit_most=20_000, cycle=100_000) as (host, address):
+        change(host)
+        async with grpc.aio.insecure_channel(address) as channel, anyio.create_task_group() as group:
+            clients = await fleet(group, channel, host, 4)
+            good = str(host.desk.ledger.newest())
+            told = await foxstep("tables", "put", address, f"{SERVERS[0]}=1", f"{SERVERS[1]}=2.5")
+            assert "4 of 4 hold it, done" in told
+            assert f"{SERVERS[1]:24} 2.5" in await foxstep("tables", "show", address, "p1")
+            assert f"{SERVERS[1]} 1 to 2.5" in await foxstep("tables", "diff", address, good,
+                                                          str(host.desk.ledger.newest()))
+            told = await foxstep("tables", "rollback", address, good, "--zone", "east")
+            assert f"zone east to {good}, within" in told and "2 of 2 hold it, done" in told
+            assert {c.node.id for c in clients if c.name_held.endswith(f"@{good}")} == {"p0", "p2"}
+            told = await foxstep("tables", "list", address)
+            assert "by hand" in told and f"rollback 2: zone east to {good}: done; 2 of 2" in told
+            told = await foxstep("tables", "show", address)
+            assert told.count(" of " + good) == 2 and "0 joined proxies do not hold" in told
+            assert "2 ended" in await foxstep("tables", "unpin", address)
+            await until(lambda: all("@" not in c.name_held for c in clients), 20)
+            told = await foxstep("tables", "rollback", address, "9.9", exits=2)
+            assert told.startswith(f"foxstep: {address}: no version 9.9 in the history")
+            assert told.count("\n") == 1
+            told = await foxstep("tables", "put", address, "x=heavy", exits=2)
+            assert "expected SERVER=WEIGHT" in told
+            assert "channel 0 of" in await foxstep("inspect", address)
+            group.cancel_scope.cancel()
