The ledger forgets proxies that have long been away, beyond eight names for each that the site states

Need: proxies under ever new names made the history hold them for good. Change: Desk.left bounds the holders and takes the oldest that are away out of the fleet's version. Measured: 500 names through a limit of 64: 64 remembered, the one that stayed joined among them.

--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -140,7 +140,7 @@
         del self.joins[ident]
         self.channel.drop(ident)
         self.book.leave(ident)
-        self.desk.ledger.left(ident)
+        self.desk.left(ident)
         self.repairs.forget(ident)
         self.controller.left(self.clock(), ident)
         self.log.info("left", proxy=ident, reason=reason)
--- a/foxstep/tables/desk.py
+++ b/foxstep/tables/desk.py
@@ -13,6 +13,8 @@
 from foxstep.tables.rollback import DONE, RUNNING, Rollbacks, bound
 from foxstep.tables.version import Version
 
+HOLDERS, LEAST_HOLDERS = 8, 64   # holders remembered for each proxy that the site states, and at least
+
 
 class Unknown(ValueError):
     """An operator's order that cannot be carried out, in one line."""
@@ -28,6 +30,7 @@
         self.ledger, self.rollbacks = Ledger(epoch, keep, site["me"]), Rollbacks()
         self.evidence = Evidence(self.lag)
         self.allowed, self.fresh = {}, {}   # as last told; proxies to be shaped anew, as a set in order
+        self.most, self.gone = max(LEAST_HOLDERS, HOLDERS * site["proxies"]), {}
         self.on_entry = self.on_rollback = lambda _: None  # the store's doors
 
     def wait(self):
@@ -50,6 +53,19 @@
                 ledger.kept[rollback.version] = None
             rollback.wave_at = 0
 
+    def left(self, proxy):
+        """A stream broke. Guards against proxies under ever new names: beyond so many holders those that
+        have been away for longest are forgotten. Harm: what such a one held is not known when it is back
+        after all."""
+        self.ledger.left(proxy)
+        self.ledger.holders[proxy] = self.ledger.holders.pop(proxy)  # the last to go
+        while len(self.ledger.holders) > self.most:
+            away = next((p for p, h in self.ledger.holders.items() if not h.joined), None)
+            if away is None:
+                break
+            del self.ledger.holders[away]
+            self.gone[away] = None
+
     # -- the batch
 
     def shape(self, now, messages, book, zones, allowed, cause):
@@ -71,7 +87,8 @@
                 meant[proxy] = lines
         self.fresh = {}
         before = {proxy: self.ledger.table(proxy) for proxy in meant}
-        version = self.ledger.commit(now, cause, meant, of)
+        forgotten, self.gone = {p: None for p in self.gone if p not in meant}, {}
+        version = self.ledger.commit(now, cause, {**meant, **forgotten}, of)
         if version:
             self.evidence.ordered_now(now, version)
             self.on_entry(self.ledger.entries[version])
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -18,7 +18,7 @@
 
 PROXIES, SERVERS = [f"p{k}" for k in range(4)], [f"s{k}" for k in range(6)]
 SITE = {"transit_most": 100_000, "cycle": 100_000, "backlog": 60.0, "lines_per_s": 1000.0, "head": 2,
-        "zones": ["east"], "me": 0}
+        "zones": ["east"], "me": 0, "proxies": 4}
 proxies, servers = st.sampled_from(PROXIES), st.sampled_from(SERVERS)
 
 
@@ -97,7 +97,7 @@
         if self.joined.pop(proxy, None):
             self.book.leave(proxy)
             self.channel.drop(proxy)
-            self.desk.ledger.left(proxy)
+            self.desk.left(proxy)
             self.receivers[proxy].inbox.clear()
 
     @rule(proxy=proxies, server=servers, weight=st.sampled_from([0, 1.0, 2.0, 3.5]))
@@ -230,6 +230,29 @@
     assert len(ledger.entries) == 1000 and Version(7, 1) not in ledger.entries
 
 
+def test_holders_under_ever_new_names_are_bounded_and_those_joined_are_kept():
+    desk, book, zones = Desk(SITE, 9), Book(1, 2), {}
+
+    def join(name):
+        zones[name] = "east"
+        book.join(name)
+        desk.ledger.joined(name)
+        book.weigh(0, name, "s", 1.0)
+        book.bind(0, name, name, 0)
+        desk.shape(0, book.close_batch(), book, zones, {"s": 1.0}, "")
+
+    join("stays")
+    for k in range(500):
+        join(f"passes-{k}")
+        del zones[f"passes-{k}"]
+        book.leave(f"passes-{k}")
+        desk.left(f"passes-{k}")
+    desk.shape(0, [], book, zones, {"s": 1.0}, "")
+    assert len(desk.ledger.holders) == desk.most == 64 and len(desk.ledger.fleet) <= 64
+    assert "stays" in desk.ledger.fleet and desk.ledger.holder("stays").joined
+    assert desk.ledger.table("passes-499") and desk.ledger.table("passes-1") is None
+
+
 def test_a_pin_is_cut_by_the_modules_word_and_made_up():
     pinned, ordinary = {"a": 2.0, "b": 2.0, "c": 2.0}, {"c": 1.0, "d": 1.0, "e": 1.0, "cold": 0.25}
     allowed = {"a": 1, "c": 1, "d": 1, "e": 1, "cold": 0.25}
