--- a/foxstep/proxy/control.py
+++ b/foxstep/proxy/control.py
@@ -61,7 +61,7 @@
         self.op_types, self.controllers, self.table, self.forwarder = op_types, controllers, table, forwarder
         self.clock, self.seed, self.redial, self.stall = clock, seed, redial, stall
         self.pattern = f"xdstp:///envoy.config.endpoint.v3.LbEndpoint/{site_name}/every-op-type/*"
-        self.dials, self.joined, self.refusals = 0, False, 0
+        self.dials, self.joined, self.refusals, self.channels = 0, False, 0, {}
         self.log = structlog.get_logger("foxstep.proxy").bind(proxy=ident)
 
     def node(self):
@@ -72,24 +72,39 @@
             node.metadata["holds"] = self.table.name
         return node
 
+    def channel(self, address):
+        """One a controller, kept: a dial is then three streams, not a connection and all that it costs."""
+        if address not in self.channels:
+            self.channels[address] = grpc.aio.insecure_channel(address, options=[
+                ("grpc.keepalive_time_ms", 5_000), ("grpc.keepalive_timeout_ms", 2_000),
+                ("grpc.use_local_subchannel_pool", 1), ("grpc.enable_retries", 0),
+                ("grpc.initial_reconnect_backoff_ms", 200), ("grpc.max_reconnect_backoff_ms", 1_000)])
+        return self.channels[address]
+
     async def run(self):
-        while True:
-            address = self.controllers[self.dials % len(self.controllers)]
-            options = [("grpc.keepalive_time_ms", 5_000), ("grpc.keepalive_timeout_ms", 2_000),
-                       ("grpc.use_local_subchannel_pool", 1), ("grpc.enable_retries", 0)]
-            async with grpc.aio.insecure_channel(address, options=options) as channel:
-                try:
-                    await asyncio.wait_for(channel.channel_ready(), CONNECT_WITHIN)
-                    async with anyio.create_task_group() as group:
-                        for stream in (self.follow, self.report, self.tell_usage):
-                            group.start_soon(stream, channel)
-                except* BROKEN as broken:
-                    self.log.info("stream broke", controller=address, why=str(broken.exceptions[0])[:120])
-            self.joined = False
-            self.dials += 1
-            # Spread by chance: fifty proxies that lost one controller do not all come back at once.
-            chance = crc32(f"{self.seed} {self.ident} {self.dials}".encode()) / 2**32
-            await anyio.sleep(self.redial[0] + chance * (self.redial[1] - self.redial[0]))
+        try:
+            while True:
+                await self.dial(self.controllers[self.dials % len(self.controllers)])
+                self.joined = False
+                self.dials += 1
+                # Spread by chance: fifty proxies that lost one controller do not all come back at once.
+                chance = crc32(f"{self.seed} {self.ident} {self.dials}".encode()) / 2**32
+                await anyio.sleep(self.redial[0] + chance * (self.redial[1] - self.redial[0]))
+        finally:
+            with anyio.CancelScope(shield=True), anyio.move_on_after(0.5):
+                for channel in self.channels.values():
+                    await channel.close()
+
+    async def dial(self, address):
+        """The streams to one controller, until any of them breaks."""
+        channel = self.channel(address)
+        try:
+            await asyncio.wait_for(channel.channel_ready(), CONNECT_WITHIN)
+            async with anyio.create_task_group() as group:
+                for stream in (self.follow, self.report, self.tell_usage):
+                    group.start_soon(stream, channel)
+        except* BROKEN as broken:
+            self.log.info("stream broke", controller=address, why=str(broken.exceptions[0])[:120])
 
     # -- tables
 
