Short morning: a channel and cold servers that bear less, so that each guard's lack shows for certain

Change: backlog 180, cold servers fall at their present capacity, the channel without its guard at an eighth.

--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -61,7 +61,7 @@
         self.effects = [o["effect"] for o in site["op_types"]]
         self.names = [o["name"] for o in site["op_types"]]
         self.book = Book(self.places, int(site["head"]))
-        pace = site["lines_per_s"] / (4 if "queue" in self.off else 1)
+        pace = site["lines_per_s"] / (8 if "queue" in self.off else 1)
         self.channel = Channel(pace, site["backlog"], site["messages_most"], site["messages_window"],
                                bounded="queue" not in self.off)
         self.listed_lines = {}                     # server -> its line, as last told
--- a/foxstep/site/examples/short.jsonnet
+++ b/foxstep/site/examples/short.jsonnet
@@ -2,6 +2,6 @@
 local fleet = import 'fleet.libsonnet';
 (import 'morning.jsonnet') + {
   name: 'short',
-  channel: fleet.channel(300, 0.8),
-  rules+: { fall_multiple: 1.5 },
+  channel: fleet.channel(300, 0.6),
+  rules+: { fall_multiple: 1 },
 }
