Read again: dead state out, one place for a fleet's changes, an address and a failed try's end

The store copied the fleet for each batch and never read the copy; the ledger and the store changed a fleet by the same loop; two resources wrote an address alike; the proxy asked in two places whether a failed try is followed.

--- a/foxstep/live/book.py
+++ b/foxstep/live/book.py
@@ -56,7 +56,6 @@
     def __init__(self, places):
         self.tables = [None] * places
         self.lines, self.levels, self.shut = {}, {}, {}
-        self.written = 0     # messages written to it
         self.meant = None    # the ledger.Table that its lines are
 
     def apply(self, message):
@@ -79,7 +78,6 @@
                 self.shut[server] = None
             else:
                 self.shut.pop(server, None)
-        self.written += 1
         self.meant = message.meant or self.meant
 
     def lines_of(self, place):
--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -27,7 +27,7 @@
 
 
 class Outlet(Protocol):
-    """One proxy's stream, as its front writes it. `stamp` marks what was last delivered."""
+    """One proxy's stream, as its front writes it."""
 
     def deliver(self, holding: Holding, message: Message) -> None: ...
 
@@ -78,7 +78,6 @@
         self.notes, self.lag = "", 0               # the longest that the loop was late since last looked at
         self.to_answer = HdrHistogram(1, 600 * SECOND, 3)  # from order to acceptance, microseconds
         self.probe = self.watch = self.fetch = lambda *_: None
-        self.unanswered = {}                       # (ident, number) -> when it was ordered
         self.listed("remembered", [(*line[:6], line[6] and max(line[6] - self.wall_offset, 1))
                                    for line in self.store.lines])
 
@@ -156,8 +155,9 @@
         self.repairs.accepted(ident)
         now = self.clock()
         if version:
-            if self.desk.ledger.accepted(ident, Version.read(version)):
-                self.store.holder(ident, version.partition("/")[0].partition("@")[0])
+            taken = Version.read(version)
+            if self.desk.ledger.accepted(ident, taken):
+                self.store.holder(ident, taken)
             self.desk.evidence.answered(now, refused=False)
             if self.desk.busy():
                 self.stir(f"accepted {ident} {version}")
--- a/foxstep/live/intake.py
+++ b/foxstep/live/intake.py
@@ -56,10 +56,6 @@
             for k, amount in enumerate((ops, unanswered, window)):
                 sums[k] += amount
 
-    def forget(self, proxy):
-        for key in [k for k in self.came if k[0] == proxy]:
-            del self.came[key]
-
     def round(self, controller, now, evidence):
         """Hands the module one round, and its tries to the evidence; answers how many lines it was."""
         left = self.share
--- a/foxstep/proxy/forward.py
+++ b/foxstep/proxy/forward.py
@@ -104,17 +104,14 @@
             since = round((self.clock() - first_sent) * MICRO)
             if op.gone:
                 return
-            if isinstance(status, list):      # an answer with an error status, not passed on yet
-                if self.tries.again(name, ending, further, since, op.began, op.replayable):
-                    further += 1
-                    continue
-                op.head(status, True)
-                return
-            if status == 0 or (ending == "error" and op.began):
+            if ending == "error" and op.began:
                 return                        # its error went to the client with its trailers
             if self.tries.again(name, "cut" if op.began else ending, further, since, op.began, op.replayable):
                 further += 1
                 continue
+            if isinstance(status, list):      # an answer with an error status, not passed on yet
+                op.head(status, True)
+                return
             op.refuse(status, why, self.levels.wait if status == UNAVAILABLE else None)
             return
 
--- a/foxstep/proxy/upstream.py
+++ b/foxstep/proxy/upstream.py
@@ -30,6 +30,7 @@
     def __init__(self, connection, number):
         self.connection, self.number = connection, number
         self.events, self.window, self.done = asyncio.Queue(), asyncio.Event(), False
+        self.taken_over = False  # the server went, and had taken it
 
     async def event(self):
         event = await self.events.get()
@@ -171,7 +172,7 @@
 
     def end_all(self, ending, text):
         for made in list(self.tries.values()):
-            taken = ending == "reset" and getattr(made, "taken_over", False)
+            taken = ending == "reset" and made.taken_over
             made.finish(Ended("goaway-taken" if taken else ending, text))
         self.tries.clear()
 
--- a/foxstep/store/store.py
+++ b/foxstep/store/store.py
@@ -11,9 +11,10 @@
 from functools import partial
 
 import structlog
+from immutables import Map
 
 from foxstep.store import form
-from foxstep.tables.ledger import Entry
+from foxstep.tables.ledger import changed_fleet
 from foxstep.tables.version import CONTROLLERS, Version, epoch_after
 
 SCHEMA = """
@@ -47,9 +48,6 @@
         self.base = self.open()
         self.epoch = self.next_epoch()
         self.read()
-        self.fleet = {}                  # as last written, where a whole entry starts from
-        if self.entries:
-            self.fleet = dict(self.entries[-1].fleet)
         # The next entry does not build on the last one kept: the caller lost some, or a write failed.
         self.gap, self.broken, self.since_whole = False, False, WHOLE_EVERY
         self.writes = queue.Queue(AHEAD)
@@ -122,14 +120,7 @@
             chain = entry is not None and (chain or whole)
             if not chain:
                 continue  # what builds on an unsound entry waits for the next whole one
-            fleet = form.Map() if whole else fleet
-            with fleet.mutate() as made:
-                for proxy, table in entry.changed.items():
-                    if table is None:
-                        made.pop(proxy, None)
-                    else:
-                        made[proxy] = table
-                fleet = entry.fleet = made.finish()
+            fleet = entry.fleet = changed_fleet(Map() if whole else fleet, entry.changed)
             self.entries.append(entry)
         heirs = {}
         rows = self.base.execute("SELECT number, body, sum FROM rollbacks ORDER BY number")
@@ -239,16 +230,12 @@
         return True
 
     def write(self, batch):
-        newest, fleet, since = {}, dict(self.fleet), self.since_whole
+        newest, since = {}, self.since_whole
         self.base.execute("BEGIN IMMEDIATE")
         for kind, *values in batch:
             if kind == "entry":
                 entry, gap = values
-                for proxy, table in entry.changed.items():
-                    fleet[proxy] = table
                 whole = since >= WHOLE_EVERY or gap or self.broken
-                if whole:
-                    fleet = dict(entry.fleet)
                 since = 1 if whole else since + 1
                 since = WHOLE_EVERY if entry.aside else since
                 self.broken = self.broken and not whole
@@ -265,7 +252,7 @@
             self.base.execute(f"INSERT OR REPLACE INTO {table} VALUES (?, ?, ?)",
                               (key, body, form.row_sum(key, data)))
         self.base.execute("COMMIT")
-        self.fleet, self.since_whole = fleet, since
+        self.since_whole = since
 
     def compact(self):
         """Cuts the history to `keep` entries, back to a whole one, once it is twice as long; then copies the
@@ -306,5 +293,3 @@
     def flush(self, seconds=0.0):
         return True
 
-
-__all__ = ["Entry", "Nowhere", "Store"]
--- a/foxstep/tables/desk.py
+++ b/foxstep/tables/desk.py
@@ -2,7 +2,8 @@
 
 The module's orders stay the ordinary tables. A proxy that a rollback holds is meant to hold its pinned table
 as the module's word of the servers cuts it (`compose`). Every change of what proxies are meant to hold is a
-version. """
+version.
+"""
 
 from zlib import crc32
 
@@ -10,7 +11,7 @@
 from foxstep.tables.compose import compose
 from foxstep.tables.evidence import Evidence
 from foxstep.tables.ledger import Ledger
-from foxstep.tables.rollback import DONE, RUNNING, Rollbacks, bound
+from foxstep.tables.rollback import RUNNING, Rollbacks, bound
 from foxstep.tables.version import Version
 
 HOLDERS, LEAST_HOLDERS = 8, 64   # holders remembered for each proxy that the site states, and at least
@@ -274,5 +275,3 @@
                 out[proxy] = changed
         return out
 
-
-__all__ = ["DONE", "RUNNING", "Desk", "Unknown"]
--- a/foxstep/tables/ledger.py
+++ b/foxstep/tables/ledger.py
@@ -34,8 +34,8 @@
 
     __slots__ = ("version", "lines", "of", "_hash")
 
-    def __init__(self, version, lines, of=None, known_hash=None):
-        self.version, self.lines, self.of, self._hash = version, lines, of, known_hash
+    def __init__(self, version, lines, of=None):
+        self.version, self.lines, self.of, self._hash = version, lines, of, None
 
     def name(self):
         """As written to proxies: the version, and what it was rolled back to."""
@@ -54,7 +54,15 @@
         return changed
 
 
-EMPTY = Map()
+def changed_fleet(fleet, changed):
+    """A fleet (proxy -> Table) with what an entry changes in it; None takes a proxy out."""
+    with fleet.mutate() as made:
+        for proxy, table in changed.items():
+            if table is None:
+                made.pop(proxy, None)
+            else:
+                made[proxy] = table
+        return made.finish()
 
 
 class Entry:
@@ -84,7 +92,7 @@
     def __init__(self, epoch, keep=1000, me=0):
         self.epoch, self.keep, self.me, self.count = epoch, keep, me, 0
         self.entries = OrderedDict()      # Version -> Entry, oldest first
-        self.fleet = EMPTY                # proxy -> Table, the newest
+        self.fleet = Map()                # proxy -> Table, the newest
         self.holders = {}
         self.kept = {}                    # versions that retention leaves, as a set in order
 
@@ -113,13 +121,7 @@
 
     def append(self, entry):
         """Takes an entry with its changes in: the door of `commit` and of the store."""
-        with self.fleet.mutate() as fleet:
-            for proxy, table in entry.changed.items():
-                if table is None:
-                    fleet.pop(proxy, None)
-                else:
-                    fleet[proxy] = table
-            self.fleet = entry.fleet = fleet.finish()
+        self.fleet = entry.fleet = changed_fleet(self.fleet, entry.changed)
         self.entries[entry.version] = entry
         if entry.version.epoch == self.epoch:
             self.count = max(self.count, entry.version.count)
--- a/foxstep/tables/rollback.py
+++ b/foxstep/tables/rollback.py
@@ -117,11 +117,11 @@
         return rollback.wave
 
 
-def bound(proxies, lines, head, lines_per_s, transit, slack, wait=0):
+def bound(proxies, lines, head, lines_per_s, transit, slack):
     """Microseconds within which all joined proxies hold a rolled-back table, if none fails: the waves' ways
     there and back, and what the channel takes for whole tables of so many lines."""
     waves, size, left = 0, FIRST_WAVE, proxies
     while left > 0:
         waves, left, size = waves + 1, left - size, size * GROWTH
     sending = proxies * (lines + head + 1) / lines_per_s * 1_000_000
-    return round(waves * (2 * transit + slack) + sending + wait)
+    return round(waves * (2 * transit + slack) + sending)
--- a/foxstep/xds/delta.py
+++ b/foxstep/xds/delta.py
@@ -4,7 +4,8 @@
 What a client tells that it holds (`initial_resource_versions`) is all that a rejoin needs for the smallest
 change. For lines, `system_version_info` says "NAME BASE RESULT": the table's name and the content hash that
 the change builds on and comes to; BASE "-" replaces all. Source: the xDS transport protocol, incremental
-variant; LEDS. """
+variant; LEDS.
+"""
 
 from collections import deque
 
--- a/foxstep/xds/front.py
+++ b/foxstep/xds/front.py
@@ -6,7 +6,6 @@
 
 import anyio
 import grpc
-import structlog
 from envoy.service.discovery.v3 import ads_pb2_grpc
 from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
 from envoy.service.rate_limit_quota.v3 import rlqs_pb2, rlqs_pb2_grpc
@@ -218,8 +217,6 @@
         self.host, self.site, self.site_name, self.op_types = host, host.site, site_name, op_types
         self.place_of = {o["name"]: k for k, o in enumerate(op_types)}
         self.streams, self.quota_streams = {}, {}
-        self.log = structlog.get_logger("foxstep.xds")
-        self.open = 0
 
     def zone_of(self, server):
         line = self.host.listed_lines.get(server)
--- a/foxstep/xds/resources.py
+++ b/foxstep/xds/resources.py
@@ -78,6 +78,13 @@
     return made
 
 
+def put_address(endpoint, server):
+    """Writes `server` ("host:port", IPv6 in brackets) into an endpoint."""
+    host, _, port = server.rpartition(":")
+    address = endpoint.endpoint.address.socket_address
+    address.address, address.port_value = host.strip("[]"), int(port)
+
+
 def lines(name, weights, zone_of, region, share=None):
     """The assignment of one table: server -> weight. `share` under 1 refuses the rest at once."""
     made = endpoint_pb2.ClusterLoadAssignment(cluster_name=name)
@@ -86,10 +93,7 @@
         locality.locality.region = region
         locality.locality.zone, locality.locality.sub_zone = zone_of(server), server
         locality.load_balancing_weight.value = thousandths(weight)
-        host, _, port = server.rpartition(":")
-        endpoint = locality.lb_endpoints.add(health_status=health_check_pb2.HEALTHY)
-        address = endpoint.endpoint.address.socket_address
-        address.address, address.port_value = host.strip("[]"), int(port)
+        put_address(locality.lb_endpoints.add(health_status=health_check_pb2.HEALTHY), server)
     if share is not None and share < 1:
         overload = made.policy.drop_overloads.add(category="level")
         overload.drop_percentage.numerator = round((1 - max(share, 0)) * MILLION)
@@ -106,9 +110,7 @@
     """One line as a resource of its own."""
     made = endpoint_components_pb2.LbEndpoint(health_status=health_check_pb2.HEALTHY)
     made.load_balancing_weight.value = thousandths(weight)
-    host, _, port = server.rpartition(":")
-    address = made.endpoint.address.socket_address
-    address.address, address.port_value = host.strip("[]"), int(port)
+    put_address(made, server)
     return made
 
 
