--- a/foxstep/proxy/control.py
+++ b/foxstep/proxy/control.py
@@ -62,6 +62,7 @@
         self.clock, self.seed, self.redial, self.stall = clock, seed, redial, stall
         self.pattern = f"xdstp:///envoy.config.endpoint.v3.LbEndpoint/{site_name}/every-op-type/*"
         self.dials, self.joined, self.refusals, self.channels = 0, False, 0, {}
+        self.taken = None  # set when the streams' controller has sent something
         self.log = structlog.get_logger("foxstep.proxy").bind(proxy=ident)
 
     def node(self):
@@ -100,9 +101,14 @@
         channel = self.channel(address)
         try:
             await asyncio.wait_for(channel.channel_ready(), CONNECT_WITHIN)
+            self.taken = anyio.Event()
             async with anyio.create_task_group() as group:
-                for stream in (self.follow, self.report, self.tell_usage):
-                    group.start_soon(stream, channel)
+                group.start_soon(self.follow, channel)
+                # Reports wait for the first table: a controller that is away, or just back with hundreds
+                # dialling, is asked for one stream a proxy and not three.
+                await self.taken.wait()
+                group.start_soon(self.report, channel)
+                group.start_soon(self.tell_usage, channel)
         except* BROKEN as broken:
             self.log.info("stream broke", controller=address, why=str(broken.exceptions[0])[:120])
 
@@ -120,6 +126,7 @@
             type_url=LEVELS, resource_names_subscribe=[o["name"] for o in self.op_types]))
         while (response := await call.read()) is not grpc.aio.EOF:
             self.joined = True
+            self.taken.set()
             answer = discovery_pb2.DeltaDiscoveryRequest(type_url=response.type_url,
                                                          response_nonce=response.nonce)
             try:
