A second front: balancers that speak SASP are advised from the module's shared table

Need: load balancers that speak the Server/Application State Protocol (RFC 4678) ask a workload manager for weights; foxstep becomes that manager beside its gRPC front, on one core.

Change: foxstep/sasp (codec of all messages and TLVs, sessions over TCP, a balancer as tool) and foxstep/advice (register, weights of a group, which balancer is told when; no I/O). A balancer is joined to the host without being a proxy of the module: its lines come from the module's word of the servers (`standing()`, new, no decision changed), are versions in the ledger and go through the channel. A group is never without a weight while a member is open; a cold member's weight is cut where members are missing.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -417,6 +417,11 @@
         """The part of its usual weight that each server may have now; who is not named may have none."""
         return {s.ident: weight / s.weight for s, weight in self.want.items() if s.weight}
 
+    def standing(self):
+        """What advice goes by: (weight in the shared table, its usual one, what it surely can do of that)."""
+        known = self.open_servers()
+        return {s.ident: (self.want.get(s, 0.0), s.weight or s.size, self.warmth(s)) for s in known}
+
     def room(self, proxy, lines, calm):
         """Whether the limits on messages and waiting lines take so many more, the channel being at `pace`."""
         sent = (self.now - self.waiting_at) / SECOND * self.site.get("lines_per_s", 1000) * self.pace
--- a/foxstep/commands/line.py
+++ b/foxstep/commands/line.py
@@ -8,6 +8,7 @@
 from foxstep.commands import Refusing, logs
 from foxstep.site import read_site
 
+ADDRESS = re.compile(r"(\d+\.\d+\.\d+\.\d+|\[[0-9a-fA-F:]+\]):\d{1,5}")
 LOOPBACK = re.compile(r"(127\.\d+\.\d+\.\d+|\[::1\]|localhost):\d{1,5}")
 
 
@@ -24,6 +25,18 @@
     return dict(value.split("=", 1) for value in values)
 
 
+def groups_of(ctx, param, values):
+    """NAME=SERVER,... as name -> servers."""
+    made = {}
+    for value in values:
+        name, _, servers = value.partition("=")
+        listed = [server for server in servers.split(",") if server]
+        if not name or not listed or not all(ADDRESS.fullmatch(server) for server in listed):
+            raise click.BadParameter(f"expected NAME=ADDRESS:PORT,..., got {value!r}")
+        made[name] = listed
+    return made
+
+
 @click.group(cls=Refusing)
 @click.option("--log", "form", type=click.Choice(["json", "people"]), default="people", help="its form")
 @click.option("--level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
@@ -36,6 +49,7 @@
 @click.argument("site")
 @click.option("--listen", default="127.0.0.1:0", callback=loopback, help="address to serve on")
 @click.option("--list", "list_address", callback=loopback, help="address of the list service (EDS)")
+@click.option("--sasp", callback=loopback, help="address to advise balancers on (SASP)")
 @click.option("--state", type=click.Path(file_okay=False), help="folder for what outlives a restart")
 @click.option("--seed", type=int, default=1, help="of this controller's chance")
 @click.option("--decider", type=click.Choice(["balance", "even"]), default="balance",
@@ -45,10 +59,10 @@
 @click.option("--tell", is_flag=True, help="print the address on standard output, once ready")
 @click.option("--off", multiple=True, type=click.Choice(["bare", "twice", "drain", "cold", "queue"]),
               help="switch a guard off, to see a drill fail")
-def serve(site, listen, list_address, state, seed, decider, outside, tell, off):
+def serve(site, listen, list_address, sasp, state, seed, decider, outside, tell, off):
     """Run a controller of SITE until SIGTERM or ctrl-C."""
     from foxstep.commands.serve import run
-    run(read_site(site, **outside), listen, list_address, state, seed, decider, tell, off)
+    run(read_site(site, **outside), listen, list_address, state, seed, decider, tell, off, sasp)
 
 
 @main.command()
@@ -77,6 +91,19 @@
     run(address, cluster)
 
 
+@main.command()
+@click.argument("address", callback=loopback)
+@click.option("--id", "ident", default="balancer", help="its name; no two may share one")
+@click.option("--group", "groups", multiple=True, required=True, callback=groups_of,
+              metavar="NAME=SERVER,...", help="what it registers; may be given again")
+@click.option("--pull", is_flag=True, help="ask for weights instead of having them sent")
+@click.option("--seconds", type=click.FloatRange(0.1), help="stop after so many")
+def advise(address, ident, groups, pull, seconds):
+    """Register servers with the controller at ADDRESS over SASP and print the weights it advises."""
+    from foxstep.commands.advise import run
+    run(address, ident, groups, not pull, seconds)
+
+
 @main.command()
 @click.argument("name")
 @click.option("--seconds", type=click.FloatRange(5, 7200), help="scale the day to so many")
--- a/foxstep/commands/serve.py
+++ b/foxstep/commands/serve.py
@@ -4,12 +4,15 @@
 import time
 
 import anyio
+import anyio.abc
 import grpc
+import msgspec
 import structlog
 
 from foxstep.balance import Controller
 from foxstep.live.host import Host
 from foxstep.operate.service import OperatorService
+from foxstep.sasp.front import SaspFront
 from foxstep.xds.front import MOST_REPORT, Front
 from foxstep.xds.listing import ListClient
 from foxstep.xds.probes import Prober
@@ -36,8 +39,9 @@
             return
 
 
-async def serve(site, listen, list_address, state, seed, make, tell, off=()):
-    """Runs a controller of `site` on `listen`; the log's `ready` event tells the address."""
+async def serve(site, listen, list_address, state, seed, make, tell, off=(), sasp=None):
+    """Runs a controller of `site` on `listen`, and its SASP front on `sasp` where that is given; the log's
+    `ready` event tells the addresses."""
     log = structlog.get_logger("foxstep")
     host = Host(site.plain(), seed, clock, wall, state, off, make)
     op_types = [{"name": o.name, "method": o.method,
@@ -49,15 +53,23 @@
     port = server.add_insecure_port(listen)
     prober = Prober(host)
     await server.start()
+    asking, advised = None, {}
+    if sasp:
+        host_part, _, port_part = sasp.rpartition(":")
+        asking = await anyio.create_tcp_listener(local_host=host_part, local_port=int(port_part))
+        advised = {"sasp": f"{host_part}:{asking.extra(anyio.abc.SocketAttribute.local_port)}"}
     if tell:
         print(f"{listen.rpartition(':')[0]}:{port}", flush=True)
     log.info("ready", address=f"{listen.rpartition(':')[0]}:{port}", site=site.name, epoch=host.epoch,
-             me=site.controllers.me)
+             me=site.controllers.me, **advised)
     try:
         async with anyio.create_task_group() as group:
             group.start_soon(wait_for_signal, group.cancel_scope)
             group.start_soon(host.run)
             group.start_soon(prober.run)
+            if asking:
+                advice = msgspec.structs.asdict(site.advice)
+                group.start_soon(SaspFront(host, advice).run, asking)
             if list_address:
                 group.start_soon(ListClient(host, list_address, site.server_list.cluster,
                                             f"controller-{site.controllers.me}").run)
@@ -68,8 +80,8 @@
         log.info("stopped", orders=host.orders, messages=host.channel.sent_messages)
 
 
-def run(site, listen, list_address, state, seed, decider="balance", tell=False, off=()):
+def run(site, listen, list_address, state, seed, decider="balance", tell=False, off=(), sasp=None):
     make = Controller
     if decider == "even":
         from foxstep.drills.even import Even as make
-    anyio.run(serve, site, listen, list_address, state, seed, make, tell, tuple(off))
+    anyio.run(serve, site, listen, list_address, state, seed, make, tell, tuple(off), sasp)
--- a/foxstep/drills/even.py
+++ b/foxstep/drills/even.py
@@ -30,6 +30,9 @@
     def allowed(self):
         return {server: 1.0 for server, weight in self.servers.items() if weight}
 
+    def standing(self):
+        return {server: (1.0, 1.0, 1.0) for server, weight in self.servers.items() if weight}
+
     def ignored(self, *_): ...
 
     woken = probed = told = left = heard = used = applied = ignored
--- a/foxstep/interface.py
+++ b/foxstep/interface.py
@@ -60,3 +60,7 @@
     def allowed(self) -> dict[str, float]:
         """The part of its usual weight (0 to 1) that each server may have in any table now; a server that is
         not named may have none. What a host cuts tables of an earlier day by."""
+
+    def standing(self) -> dict[str, tuple[float, float, float]]:
+        """Of each open server: its weight in the shared table now (0: none), its usual weight, and the part
+        of it that it surely can do (1: warm). What advice to others than proxies goes by."""
--- a/foxstep/live/book.py
+++ b/foxstep/live/book.py
@@ -114,6 +114,10 @@
         self.bound[proxy], self.out[proxy], self.untold[proxy] = [None] * self.places, {}, None
         self.batch.pop(proxy, None)
 
+    def enroll(self, proxy):
+        """A stream of one that is advised: no table of the module's is bound to it."""
+        self.holdings[proxy] = Holding(self.places)
+
     def leave(self, proxy):
         for known in (self.holdings, self.bound, self.batch, self.out, self.untold):
             known.pop(proxy, None)
--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -19,7 +19,7 @@
 from foxstep.live.intake import Intake
 from foxstep.live.repair import Repairs
 from foxstep.store.store import Nowhere, Store
-from foxstep.tables.desk import Desk
+from foxstep.tables.desk import ADVICE, Desk
 from foxstep.tables.version import Version
 
 SECOND = 1_000_000
@@ -35,7 +35,7 @@
 
 
 class Joined:
-    """A proxy whose stream is up."""
+    """One whose stream is up: a proxy, or (`rate` None) one that is advised."""
 
     def __init__(self, ident, zone, rate, outlet):
         self.ident, self.zone, self.rate, self.outlet = ident, zone, rate, outlet
@@ -112,6 +112,27 @@
     def joined(self, ident, zone, rate, fresh, outlet, told=""):
         """A proxy's stream is up; `told` is the version that it says it holds. An older stream under the
         same id is ended: its queue is void."""
+        self.enter(ident, zone, rate, outlet, told)
+        self.book.join(ident)
+        self.controller.joined(self.clock(), ident, zone, rate, fresh)
+        self.stir(f"joined {ident}")
+
+    def enrolled(self, ident, zone, outlet, told=""):
+        """The same of one that asks for advice on servers of its own naming: the module knows nothing of it,
+        its messages come from the module's word of the servers (`foxstep/advice/`)."""
+        self.enter(ident, zone, None, outlet, told)
+        self.book.enroll(ident)
+        self.advise(ident, outlet, {})
+        self.stir(f"enrolled {ident}")
+
+    def advise(self, ident, outlet, groups):
+        """What an enrolled one wants advice on: group -> {server: whether it asked for no new work}, whole.
+        Names of groups have no blank."""
+        if ident in self.joins and self.joins[ident].outlet is outlet:
+            self.desk.enroll(ident, groups)
+            self.stir(f"roll {ident}")
+
+    def enter(self, ident, zone, rate, outlet, told):
         try:
             held = Version.read(told) if told else None
         except ValueError:
@@ -121,15 +142,15 @@
             self.log.info("joined twice", proxy=ident)
             older.outlet.end("a newer stream of the same proxy is up")
             self.channel.drop(ident)
-            self.controller.left(self.clock(), ident)
+            self.book.leave(ident)
+            self.desk.left(ident)
+            if older.rate is not None:
+                self.controller.left(self.clock(), ident)
         self.joins[ident] = Joined(ident, zone, rate, outlet)
-        self.book.join(ident)
         if self.desk.ledger.epoch < (held.epoch if held else 0):
             self.log.warning("outranked", proxy=ident, holds=str(held))
         self.desk.ledger.joined(ident, held)
         self.repairs.forget(ident)
-        self.controller.joined(self.clock(), ident, zone, rate, fresh)
-        self.stir(f"joined {ident}")
 
     def left(self, ident, outlet, reason=""):
         """A stream broke; one that a newer has replaced changes nothing."""
@@ -141,7 +162,8 @@
         self.book.leave(ident)
         self.desk.left(ident)
         self.repairs.forget(ident)
-        self.controller.left(self.clock(), ident)
+        if joined.rate is not None:
+            self.controller.left(self.clock(), ident)
         self.log.info("left", proxy=ident, reason=reason)
         self.stir(f"left {ident}")
 
@@ -229,8 +251,10 @@
             else:
                 self.log.error("order not carried out", verb=verb)
         zones = {ident: joined.zone for ident, joined in self.joins.items()}
-        messages = self.desk.shape(now, self.book.close_batch(), self.book, zones, self.controller.allowed(),
-                                   "; ".join(self.because))
+        ordered = self.book.close_batch()
+        waiting = self.channel.lines_waiting(now) + sum(message.cost for message in ordered)
+        messages = self.desk.shape(now, ordered, self.book, zones, self.controller.allowed(),
+                                   "; ".join(self.because), self.controller.standing(), waiting)
         for message in messages:
             self.channel.offer(now, message)
         if messages:
@@ -319,7 +343,8 @@
                 "zone": joined.zone, "delivered": joined.delivered, "accepted": joined.accepted,
                 "refused": joined.refused, "last_refusal": joined.last_refusal,
                 "waiting": ident in self.channel.queue, "owed": ident in self.channel.owed,
-                "lines": {name: holding.lines_of(k) for k, name in enumerate(self.names)},
+                "lines": {ADVICE: holding.lines.get(ADVICE, {})} if joined.rate is None else
+                         {name: holding.lines_of(k) for k, name in enumerate(self.names)},
                 "levels": {name: holding.level_of(k) for k, name in enumerate(self.names)}}
         store = {"written": self.store.written, "lost": self.store.lost, "failing": self.store.failing}
         return {"epoch": self.epoch, "store": store, "capacity": module.capacity, "note": self.notes,
--- a/foxstep/site/types.py
+++ b/foxstep/site/types.py
@@ -101,6 +101,16 @@
     dropped_stay_open: bool = False
 
 
+class Advice(Strict, kw_only=True):
+    """What balancers that ask for advice can make a controller hold."""
+
+    balancers: Some = 64
+    groups: Some = 64                  # of one balancer
+    members: Some = 20_000             # of all
+    message: Annotated[int, Meta(ge=1_000, le=64 << 20)] = 1 << 20  # bytes
+    keep: Time = Time(300_000_000)     # for so long a balancer that is away keeps what it registered
+
+
 class Goal(Strict, kw_only=True):
     whole: Amount = 0.7
     worst_op_type: Amount = 0.1
@@ -129,6 +139,7 @@
     channel: Channel
     reports: Reports = Reports()
     rules: Rules
+    advice: Advice = Advice()
     goal: Goal = Goal()
     prices: Prices = Prices()
 
--- a/foxstep/tables/desk.py
+++ b/foxstep/tables/desk.py
@@ -7,6 +7,8 @@
 
 from zlib import crc32
 
+from foxstep.advice.advice import Advice, parts
+from foxstep.advice.weigh import whole_system
 from foxstep.live.book import Message
 from foxstep.tables.compose import compose
 from foxstep.tables.evidence import Evidence
@@ -17,6 +19,9 @@
 HOLDERS, LEAST_HOLDERS = 8, 64   # holders remembered for each proxy that the site states, and at least
 
 
+ADVICE = "advice"   # the table of one that is advised; its lines are named by group and server
+
+
 class Unknown(ValueError):
     """An operator's order that cannot be carried out, in one line."""
 
@@ -29,7 +34,9 @@
         self.transit = site["transit_most"]
         self.lag = self.transit + 2 * site["cycle"]
         self.ledger, self.rollbacks = Ledger(epoch, keep, site["me"]), Rollbacks()
-        self.evidence = Evidence(self.lag)
+        self.evidence, self.advice = Evidence(self.lag), Advice(site)
+        self.standing = {}                  # the module's word of the servers, as last told
+        self.anew = {}                      # advised ones that are to be told all, as a set in order
         self.allowed, self.fresh = {}, {}   # as last told; proxies to be shaped anew, as a set in order
         self.most, self.gone = max(LEAST_HOLDERS, HOLDERS * site["proxies"]), {}
         self.on_entry = self.on_rollback = lambda _: None  # the store's doors
@@ -59,6 +66,8 @@
         have been away for longest are forgotten. Harm: what such a one held is not known when it is back
         after all."""
         self.ledger.left(proxy)
+        self.advice.left(proxy)
+        self.anew.pop(proxy, None)
         self.ledger.holders[proxy] = self.ledger.holders.pop(proxy)  # the last to go
         while len(self.ledger.holders) > self.most:
             away = next((p for p, h in self.ledger.holders.items() if not h.joined), None)
@@ -67,11 +76,20 @@
             del self.ledger.holders[away]
             self.gone[away] = None
 
+    def enroll(self, proxy, groups):
+        """One that is advised names its groups; all that it is to hold goes out anew."""
+        self.advice.enroll(proxy, groups)
+        self.anew[proxy] = True
+
     # -- the batch
 
-    def shape(self, now, messages, book, zones, allowed, cause):
+    def shape(self, now, messages, book, zones, allowed, cause, standing=None, waiting=0):
         """The messages that go out for a batch of orders: the module's own, cut for proxies that are pinned,
-        and those that a pin alone brings. `zones`: proxy -> zone of the joined ones."""
+        those that a pin alone brings, and advice. `zones`: proxy -> zone of the joined ones; `standing` as
+        the module tells it; `waiting`: lines that wait in the channel, these messages included."""
+        zones = {p: z for p, z in zones.items() if p not in self.advice.rolls or self.advice.rolls[p].groups}
+        self.standing = standing or {}
+        self.fresh.update(dict.fromkeys(self.advice.due(now, self.standing, waiting)))
         self.fresh.update(dict.fromkeys(self.rollbacks.advance(now, zones, self.settled)))
         for rollback in self.rollbacks.all:
             if rollback.state != rollback.told:
@@ -97,6 +115,8 @@
 
     def meant(self, proxy, book, zone, of):
         """The lines that a proxy is to hold, or None where it has no table of its own yet."""
+        if proxy in self.advice.rolls:
+            return self.advised(proxy, zone, of)
         tables = book.bound.get(proxy)
         if not tables or tables[0] is None or len(set(tables)) > 1:
             return None
@@ -108,26 +128,47 @@
         of[proxy] = held.version
         return compose(pinned.lines, ordinary, self.allowed)
 
+    def advised(self, proxy, zone, of):
+        """The same of one that is advised: its roll's lines, where nothing pins it."""
+        roll = self.advice.rolls[proxy]
+        if not roll.lines:
+            return None
+        ordinary = {name: weight for name, weight in roll.lines.items() if weight}
+        held = self.rollbacks.of(proxy, zone)
+        pinned = held and held.version in self.ledger.entries and self.ledger.table(proxy, held.version)
+        if not pinned:
+            return ordinary
+        of[proxy] = held.version
+        now = {name: whole_system(self.standing, parts(name)[1]) for name in roll.lines}
+        named = {name: weight for name, weight in pinned.lines.items() if name in roll.lines}
+        return compose(named, ordinary, {n: told[0] / told[1] for n, told in now.items() if told})
+
     def pinned(self, proxy, version):
         """A proxy's table in a version; one that the version does not know gets that of a proxy it knows."""
         entry = self.ledger.entries.get(version)
         if entry is None or not entry.fleet:
             return None
-        return entry.fleet.get(proxy) or entry.fleet[
-            min(entry.fleet, key=lambda other: (crc32(f"{proxy} {other}".encode()), other))]
+        if proxy in entry.fleet:
+            return entry.fleet[proxy]
+        others = [p for p, table in entry.fleet.items() if not any(parts(name)[1] for name in table.lines)]
+        near = min(others, key=lambda other: (crc32(f"{proxy} {other}".encode()), other), default=None)
+        return near and entry.fleet[near]
 
     def written(self, now, by_proxy, meant, before, book):
         out = []
         for proxy, lines in meant.items():
             message, known = by_proxy.get(proxy), before[proxy]
             table = self.ledger.table(proxy)
-            name = book.bound[proxy][0]
+            advised = proxy in self.advice.rolls
+            name = ADVICE if advised else book.bound[proxy][0]
             if message is None:
                 message = Message(proxy, now, book.head)
+            if self.anew.pop(proxy, False):  # those without a weight are told too
+                message.whole, lines = True, {**dict.fromkeys(self.advice.rolls[proxy].lines, 0), **lines}
             pinned = table.of is not None or (known is not None and known.of is not None)
             if message.whole:
                 message.lines = {(name, s): w for s, w in lines.items()}
-            elif pinned:
+            elif pinned or advised:
                 changes = known.changes_to(table.lines) if known else lines
                 message.lines = {(name, s): w for s, w in changes.items()}
             renamed = known is None or table.version != known.version
