--- a/foxstep/commands/line.py
+++ b/foxstep/commands/line.py
@@ -25,6 +25,18 @@
     return dict(value.split("=", 1) for value in values)
 
 
+def peers_of(ctx, param, values):
+    """N=NOTES,ADDRESS,ZONE as number -> (notes, address, zone)."""
+    made = {}
+    for value in values:
+        number, _, rest = value.partition("=")
+        told = rest.split(",")
+        if not number.isdecimal() or len(told) != 3 or not all(map(LOOPBACK.fullmatch, told[:2])):
+            raise click.BadParameter(f"expected N=NOTES,ADDRESS,ZONE, got {value!r}")
+        made[int(number)] = tuple(told)
+    return made
+
+
 def groups_of(ctx, param, values):
     """NAME=SERVER,... as name -> servers."""
     made = {}
@@ -50,6 +62,12 @@
 @click.option("--listen", default="127.0.0.1:0", callback=loopback, help="address to serve on")
 @click.option("--list", "list_address", callback=loopback, help="address of the list service (EDS)")
 @click.option("--sasp", callback=loopback, help="address to advise balancers on (SASP)")
+@click.option("--me", type=click.IntRange(0, 63), help="this controller's number, the site's if not told")
+@click.option("--zone", help="this controller's zone, the site's if not told")
+@click.option("--notes", callback=loopback, help="address (UDP) to hear the other controllers on")
+@click.option("--peer", "peers", multiple=True, callback=peers_of, metavar="N=NOTES,ADDRESS,ZONE",
+              help="another controller: its number, where it hears notes and proxies; may be given again")
+@click.option("--lose", type=click.FloatRange(0, 1), default=0.0, help="part of its notes that a drill loses")
 @click.option("--state", type=click.Path(file_okay=False), help="folder for what outlives a restart")
 @click.option("--seed", type=int, default=1, help="of this controller's chance")
 @click.option("--decider", type=click.Choice(["balance", "even"]), default="balance",
@@ -59,10 +77,16 @@
 @click.option("--tell", is_flag=True, help="print the address on standard output, once ready")
 @click.option("--off", multiple=True, type=click.Choice(["bare", "twice", "drain", "cold", "queue"]),
               help="switch a guard off, to see a drill fail")
-def serve(site, listen, list_address, sasp, state, seed, decider, outside, tell, off):
+def serve(site, listen, list_address, sasp, state, seed, decider, outside, tell, off, me, zone, peers,
+          **told):
     """Run a controller of SITE until SIGTERM or ctrl-C."""
     from foxstep.commands.serve import run
-    run(read_site(site, **outside), listen, list_address, state, seed, decider, tell, off, sasp)
+    checked = read_site(site, **outside)
+    if peers and not told["notes"]:
+        raise click.UsageError("--peer needs --notes: where the others' notes are heard")
+    me = checked.controllers.me if me is None else me
+    run(checked, listen, list_address, state, seed, decider, tell, off, sasp,
+        {"me": me, "zone": zone, "peers": peers, **told})
 
 
 @main.command()
@@ -256,3 +280,21 @@
     """Measure the SASP front: codec, push latency, memory a session, questions a second."""
     from foxstep.measure.sasp import run
     run([tuple(map(int, size.split("x"))) for size in sizes.split(",")])
+
+
+@main.command()
+@click.argument("address", callback=loopback)
+@click.option("--drain/--undrain", default=None, help="send all of its proxies to the others, or stop that")
+@click.option("--move", nargs=2, metavar="PROXY N", help="send one proxy to another controller")
+def peers(address, drain, move):
+    """Print what the controller at ADDRESS knows of its peers, and whom it serves."""
+    from foxstep.commands.peers import run
+    run(address, drain, move)
+
+
+@main.command("measure-peers")
+@click.option("--seconds", type=click.FloatRange(5, 3600), default=60, help="of calm, before one is killed")
+def measure_peers(seconds):
+    """Measure how soon a dead controller is found, false alarms and bytes, and moves of proxies."""
+    from foxstep.measure.peers import run
+    run(seconds)
--- /dev/null
+++ b/foxstep/commands/peers.py
@@ -0,0 +1,27 @@
+"""`foxstep peers`: the controllers that share a fleet, as one of them sees it."""
+
+import sys
+
+import anyio
+import click
+import grpc
+
+from foxstep.operate.service import PEERS, ask
+
+
+def run(address, drain, move):
+    question = {} if drain is None else {"drain": drain}
+    question.update({"proxy": move[0], "to": move[1]} if move else {})
+    try:
+        seen = anyio.run(ask, address, PEERS, question)
+    except grpc.RpcError as error:
+        click.echo(f"foxstep: {address}: {error.details()}", err=True)
+        sys.exit(1)
+    click.echo(f"controller {seen['me']}, epoch {seen['epoch']}, serves {len(seen['proxies'])} proxies"
+               + (", sends them away" if seen["draining"] else ""))
+    for number, peer in seen["peers"].items():
+        heard = "never heard" if peer["heard_ms_ago"] is None else f"heard {peer['heard_ms_ago']} ms ago"
+        click.echo(f"  {number:>3} {peer['state']:9} {peer['proxies']:5} proxies  {heard}, "
+                   f"{peer['address']}, incarnation {peer['incarnation']}")
+    click.echo(f"notes: {seen['notes']['sent']} sent, {seen['notes']['heard']} heard, "
+               f"{seen['notes']['bytes']} bytes")
--- a/foxstep/drills/notation.py
+++ b/foxstep/drills/notation.py
@@ -5,6 +5,7 @@
     servers N cores N work MS [queue N]   servers, and the mean work of an op on a warm core
     proxies N rate OPS                    scripted proxies, and the ops a second each gets
     stock N rate OPS                      stock gRPC clients, each a process of its own
+    controllers N [lose PART]             controllers that share the proxies; a part of their notes is lost
     balancers N rate OPS                  balancers that are advised over SASP, a group an op type
     mix TYPE PART ...                     the op types' parts
     lag SECONDS                           how late the list service is
@@ -17,7 +18,8 @@
     at T hot xF for S                     one proxy gets F times its ops
     at T slow xF for S                    every server takes F times as long
     at T cut N for S                      proxies reach no controller
-    at T kill back S                      the controller is killed and comes back
+    at T kill back S                      the controller is killed and comes back (of several, the next)
+    at T stop for S                       the next controller in turn stands still (SIGSTOP)
     at T fail TYPE PART on N for S        an op type fails on some servers
     at T lose PART on N for S             servers do the work, but their answers never arrive
     at T refuse N for S                   servers refuse connections in mid-stream, and listen again (warm)
@@ -48,7 +50,7 @@
     "dear": "N on N for N",
     "list": "broken for N",
     "late": "N for N", "mute": "N for N", "poison": "N for N", "rejoin": "N", "remember": "", "bad": "N",
-    "rollback": "", "unpin": "",
+    "rollback": "", "unpin": "", "stop": "for N",
 }
 RATES = {"proxies": "proxy_rate", "stock": "stock_rate", "balancers": "balancer_rate"}
 TIMES = ("for", "back")  # words whose number is a stretch of time, scaled with the day
@@ -62,6 +64,7 @@
         self.servers, self.cores, self.work, self.queue = 3, 2, 0.05, 64
         self.proxies = self.stock = self.balancers = 0
         self.proxy_rate = self.stock_rate = self.balancer_rate = 1.0
+        self.controllers, self.lose = 1, 0.0
         self.mix, self.events, self.outside = {}, [], {}
 
 
@@ -122,6 +125,8 @@
                 setattr(day, verb, int(number(rest[0])))
                 day.outside["proxies"] = str(max(1, day.proxies + day.stock))
                 setattr(day, RATES[verb], number(rest[2]))
+            elif verb == "controllers":
+                day.controllers, day.lose = int(number(rest[0])), number(rest[2]) if len(rest) > 1 else 0.0
             elif verb == "mix":
                 day.mix = dict(zip(rest[::2], map(number, rest[1::2]), strict=True))
             elif verb == "at":
--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -33,6 +33,9 @@
 
     def end(self, reason: str) -> None: ...
 
+    # Where `goes_home` is true, also `send_home(address)`: its stream ends, and it dials there.
+    goes_home: bool
+
 
 class Joined:
     """One whose stream is up: a proxy, or (`rate` None) one that is advised."""
@@ -330,6 +333,16 @@
                 await anyio.sleep(step)
             self.stirred = anyio.Event()
 
+    def at_home_elsewhere(self):
+        """proxy -> zone of the joined ones that another controller may have."""
+        return {i: j.zone for i, j in self.joins.items() if getattr(j.outlet, "goes_home", False)}
+
+    def send_home(self, ident, address):
+        joined = self.joins.get(ident)
+        if joined:
+            self.log.info("sent home", proxy=ident, to=address)
+            joined.outlet.send_home(address)
+
     # -- what can be looked at -------------------------------------------------------------------------------
 
     def view(self):
--- a/foxstep/operate/service.py
+++ b/foxstep/operate/service.py
@@ -6,16 +6,16 @@
 from foxstep.tables.desk import Unknown
 
 PREFIX = "/foxstep.Operator/"
-INSPECT = PREFIX + "Inspect"
+INSPECT, PEERS = PREFIX + "Inspect", PREFIX + "Peers"
 TABLES = {verb: f"{PREFIX}Tables{verb.title()}" for verb in
           ("list", "show", "diff", "pin", "rollback", "unpin", "put", "progress")}
 MOST = 4 * 1024 * 1024
 
 
 class OperatorService(grpc.GenericRpcHandler):
-    def __init__(self, host):
-        self.host = host
-        self.methods = {INSPECT: lambda question: host.view()}
+    def __init__(self, host, sharing=None):
+        self.host, self.sharing = host, sharing
+        self.methods = {INSPECT: lambda question: host.view(), PEERS: self.peers}
         for verb, method in TABLES.items():
             self.methods[method] = getattr(self, f"tables_{verb}")
 
@@ -34,6 +34,24 @@
                 await context.abort(grpc.StatusCode.INVALID_ARGUMENT, f"{error} is missing or wrong")
         return grpc.unary_unary_rpc_method_handler(handle)
 
+    def peers(self, question):
+        """Members and owners; with "drain" true or false, whether this one sends all of its proxies away;
+        with "proxy" and "to", one that is to move."""
+        if self.sharing is None:
+            raise Unknown("this controller was started without peers")
+        if "drain" in question:
+            self.sharing.homing.leaving = bool(question["drain"])
+        if question.get("proxy"):
+            self.move(question["proxy"], int(question["to"]))
+        return self.sharing.view()
+
+    def move(self, proxy, to):
+        if to not in self.sharing.peers:
+            raise Unknown(f"no controller {to}: expected one of {', '.join(map(str, self.sharing.peers))}")
+        if proxy not in self.host.at_home_elsewhere():
+            raise Unknown(f"{proxy!r} is not joined here, or cannot be sent elsewhere")
+        self.host.send_home(proxy, self.sharing.peers[to][1])
+
     def zones(self):
         return {ident: joined.zone for ident, joined in self.host.joins.items()}
 
--- /dev/null
+++ b/foxstep/peers/sharing.py
@@ -0,0 +1,54 @@
+"""One controller's part among its peers: notes, and proxies that go home. The host of the decisions
+beside."""
+
+import anyio
+
+from foxstep.peers.membership import ALIVE, Membership
+from foxstep.peers.notes import Notes
+from foxstep.peers.place import Homing
+
+SECOND = 1_000_000
+PERIODS = 8     # periods of pings in the grace: one that dies is found out well before a drain is missed
+
+
+class Sharing:
+    """`peers`: number -> (address for notes, address for proxies, zone) of all other controllers."""
+
+    def __init__(self, host, site_name, me, peers, socket, lose=0.0):
+        self.host, self.peers = host, peers
+        period = max(1, host.site["grace"] // PERIODS)
+        self.membership = Membership(me, {i: told[0] for i, told in peers.items()}, host.epoch, host.clock(),
+                                     period, host.seed)
+        zones = {me: host.site["zone"], **{i: told[2] for i, told in peers.items()}}
+        cost = host.site["head"] + 1 + host.site["standing"]
+        self.homing = Homing(me, zones, period, cost, host.site["lines_per_s"])
+        self.notes = Notes(site_name, self.membership, socket, host.clock, lambda: len(host.joins), lose)
+
+    async def send_home(self):
+        while True:
+            now, members = self.host.clock(), self.membership.members
+            alive = {i: m.since for i, m in members.items() if m.state == ALIVE}
+            loads = {i: members[i].load for i in alive}
+            told = self.homing.next_return(now, self.host.at_home_elsewhere(), loads, alive)
+            if told:
+                proxy, home = told
+                members[home].load += 1   # until it tells by itself
+                self.host.send_home(proxy, self.peers[home][1])
+            await anyio.sleep(max((self.homing.next_at - now) / SECOND, self.membership.period / SECOND / 4))
+
+    async def leave(self):
+        """Tells the others that this one ends."""
+        self.membership.leave()
+        await self.notes.send_due()
+
+    def view(self):
+        now = self.host.clock()
+        return {"me": self.membership.me, "incarnation": self.membership.incarnation, "epoch":
+        self.host.epoch, "alive": self.membership.alive(), "draining": self.homing.leaving, "proxies": {i:
+        j.zone for i, j in self.host.joins.items()}, "notes": {"sent": self.notes.sent, "heard":
+        self.notes.heard, "bytes": self.notes.bytes}, "peers": self.membership.view(now)}
+
+    async def run(self):
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.notes.run)
+            group.start_soon(self.send_home)
--- a/foxstep/proxy/control.py
+++ b/foxstep/proxy/control.py
@@ -17,13 +17,14 @@
 from envoy.service.rate_limit_quota.v3 import rlqs_pb2, rlqs_pb2_grpc
 from google.protobuf.message import DecodeError
 
-from foxstep.proxy.table import Refused
+from foxstep.proxy.table import Over, Refused
 from foxstep.proxy.tries import NEVER, ONCE, PROVEN, TWICE
 
 PREFIX = "type.googleapis.com/envoy.config."
 LEVELS = PREFIX + "endpoint.v3.ClusterLoadAssignment"  # of an assignment only its drops are read
 ROUTES, LINE = PREFIX + "route.v3.RouteConfiguration", PREFIX + "endpoint.v3.LbEndpoint"
-FEATURES = ["foxstep.quotas", "foxstep.tables"]
+FEATURES = ["foxstep.quotas", "foxstep.tables", "foxstep.home"]
+HOME = "foxstep-home"      # trailing metadata of a stream's end: the controller to dial next
 MICRO = 1_000_000
 BROKEN = (grpc.RpcError, grpc.aio.UsageError, grpc.aio.InternalError, asyncio.InvalidStateError, EOFError,
           TimeoutError)
@@ -53,15 +54,19 @@
 
 class Control:
     """`redial`: (least, most) seconds before dialling again. `stall`: seconds that the proxy stands still
-    for each line that it is sent. `forwarder` gets what its tables, ways and levels say."""
+    for each line that it is sent. `notice`: milliseconds, of which a controller that stands still is noticed
+    in three. `forwarder` gets what its tables, ways and levels say."""
 
     def __init__(self, ident, zone, rate, site_name, op_types, controllers, table, forwarder, clock, seed=0,
-                 redial=(0.2, 1.0), stall=0.0):
+                 redial=(0.2, 1.0), stall=0.0, notice=1_000):
         self.ident, self.zone, self.rate, self.site_name = ident, zone, rate, site_name
         self.op_types, self.controllers, self.table, self.forwarder = op_types, controllers, table, forwarder
         self.clock, self.seed, self.redial, self.stall = clock, seed, redial, stall
+        self.notice = notice
         self.pattern = f"xdstp:///envoy.config.endpoint.v3.LbEndpoint/{site_name}/every-op-type/*"
         self.dials, self.joined, self.refusals, self.channels = 0, False, 0, {}
+        self.avoided, self.in_vain = {}, 0  # controller -> until when; dials in a row that brought nothing
+        self.next_home = ""  # where the last controller has sent it
         self.taken = None  # set when the streams' controller has sent something
         self.log = structlog.get_logger("foxstep.proxy").bind(proxy=ident)
 
@@ -77,7 +82,8 @@
         """One a controller, kept: a dial is then three streams, not a connection and all that it costs."""
         if address not in self.channels:
             self.channels[address] = grpc.aio.insecure_channel(address, options=[
-                ("grpc.keepalive_time_ms", 5_000), ("grpc.keepalive_timeout_ms", 2_000),
+                ("grpc.keepalive_time_ms", self.notice), ("grpc.keepalive_timeout_ms", 2 * self.notice),
+                ("grpc.http2.ping_timeout_ms", 2 * self.notice), ("grpc.http2.max_pings_without_data", 0),
                 ("grpc.use_local_subchannel_pool", 1), ("grpc.enable_retries", 0),
                 ("grpc.initial_reconnect_backoff_ms", 200), ("grpc.max_reconnect_backoff_ms", 1_000)])
         return self.channels[address]
@@ -85,25 +91,46 @@
     async def run(self):
         try:
             while True:
-                await self.dial(self.controllers[self.dials % len(self.controllers)])
-                self.joined = False
+                address, self.next_home = self.next_home, ""
+                address = address or self.next_controller()
+                await self.dial(address)
+                was_joined, self.joined = self.joined, False
+                self.in_vain = 0 if was_joined else self.in_vain + 1
+                self.avoided[address] = self.clock() + 8 * self.notice / 1000
+                if self.next_home:
+                    continue  # sent on by a controller that is well: there is nothing to wait for
                 self.dials += 1
                 # Spread by chance: fifty proxies that lost one controller do not all come back at once.
                 chance = crc32(f"{self.seed} {self.ident} {self.dials}".encode()) / 2**32
-                await anyio.sleep(self.redial[0] + chance * (self.redial[1] - self.redial[0]))
+                least, most = self.redial
+                if was_joined and len(self.controllers) > 1:  # the next one may well be up
+                    least, most = 0.0, least
+                await anyio.sleep(least + chance * (most - least))
         finally:
             with anyio.CancelScope(shield=True), anyio.move_on_after(0.5):
                 for channel in self.channels.values():
                     await channel.close()
 
+    def next_controller(self):
+        """In turn, but for those that have just been lost, where there are others."""
+        first = self.dials % len(self.controllers)
+        turn = [*self.controllers[first:], *self.controllers[:first]]
+        return next((a for a in turn if self.avoided.get(a, 0) <= self.clock()), turn[0])
+
     async def dial(self, address):
         """The streams to one controller, until any of them breaks."""
         channel = self.channel(address)
         try:
-            await asyncio.wait_for(channel.channel_ready(), CONNECT_WITHIN)
+            within = CONNECT_WITHIN if len(self.controllers) == 1 else 4 * self.notice / 1000
+            await asyncio.wait_for(channel.channel_ready(), within)
             self.taken = anyio.Event()
             async with anyio.create_task_group() as group:
                 group.start_soon(self.follow, channel)
+                # Guards against a controller that takes connections and stands still. Harm: one that has
+                # many to serve at once is left too soon; so each dial in vain waits twice as long.
+                if len(self.controllers) > 1:
+                    with anyio.fail_after(4 * self.notice / 1000 * 2 ** min(self.in_vain, 4)):
+                        await self.taken.wait()
                 # Reports wait for the first table: a controller that is away, or just back with hundreds
                 # dialling, is asked for one stream a proxy and not three.
                 await self.taken.wait()
@@ -129,15 +156,21 @@
             self.taken.set()
             answer = discovery_pb2.DeltaDiscoveryRequest(type_url=response.type_url,
                                                          response_nonce=response.nonce)
+            over = False
             try:
                 lines = self.take(response)
                 if lines and self.stall:
                     self.forwarder.stand_still(lines * self.stall)
             except Refused as refused:
-                self.refusals += 1
+                self.refusals, over = self.refusals + 1, isinstance(refused, Over)
                 answer.error_detail.code, answer.error_detail.message = 3, str(refused)
                 self.log.warning("table refused", why=str(refused))
             await call.write(answer)
+            if over:  # whoever sent it learns what is held when this proxy joins anew
+                raise EOFError("the controller's epoch is over")
+        for name, value in await call.trailing_metadata() or ():
+            if name == HOME and value in self.controllers:
+                self.next_home = value
         raise EOFError("the controller ended the stream")
 
     def take(self, response):
--- a/foxstep/proxy/program.py
+++ b/foxstep/proxy/program.py
@@ -14,6 +14,7 @@
 from foxstep.proxy.tries import Tries
 
 LOOK_EVERY = 1.0
+NOTICES = 8     # of a controller that stands still, in a grace: its successor is to have time left for drains
 
 
 class Proxy:
@@ -33,7 +34,7 @@
         self.forwarder.table(self.table.lines)
         self.door = Door(self.forwarder.handle)
         self.control = Control(ident, zone, rate, site_name, kinds, controllers, self.table, self.forwarder,
-                               clock, seed, redial, stall)
+                               clock, seed, redial, stall, max(50, site["grace"] // NOTICES // 1000))
 
     async def run(self, host="127.0.0.1", port=0, drain=2.0, started=lambda port: None):
         """Until cancelled; then no more ops are taken, and those under way get `drain` seconds."""
--- a/foxstep/proxy/table.py
+++ b/foxstep/proxy/table.py
@@ -8,6 +8,10 @@
     """A change that does not fit, and why."""
 
 
+class Over(Refused):
+    """The change is of an epoch that is over: somebody else has served this proxy since."""
+
+
 def content_hash(lines):
     """BLAKE2b, 16 bytes as hex, over "server weight\\n" in order of servers; weights are whole
     thousandths."""
@@ -24,7 +28,7 @@
     """Begins as a standing table, which is nobody's version: the first change of a controller replaces it."""
 
     def __init__(self, standing=()):
-        self.lines, self.name = dict.fromkeys(standing, 1000), ""
+        self.lines, self.name, self.epoch = dict.fromkeys(standing, 1000), "", 0
         self.changes = self.refusals = 0
 
     def held(self):
@@ -40,6 +44,13 @@
             raise Refused(f'expected "NAME BASE RESULT", got {info[:80]!r}') from None
         if any(not 0 < weight < 2**32 for weight in changed.values()):
             raise Refused("a weight that is none")
+        # Guards against a controller that believes it still owns this proxy: whoever took over has a later
+        # epoch. Harm: none; the one that is refused learns of it by the refusal.
+        told = name.partition(".")[0]
+        epoch = int(told) if told.isdecimal() and len(told) < 20 else 0
+        if epoch < self.epoch:
+            self.refusals += 1
+            raise Over(f"epoch {epoch} is over, what is held is of {self.epoch}")
         before = self.held()
         if base != "-" and base != content_hash(before):
             self.refusals += 1
@@ -51,6 +62,6 @@
         if content_hash(lines) != result:
             self.refusals += 1
             raise Refused(f"comes to {content_hash(lines)} instead of {result}")
-        self.lines, self.name = lines, name
+        self.lines, self.name, self.epoch = lines, name, epoch
         self.changes += 1
         return len(changed) + len(removed)
--- a/foxstep/xds/front.py
+++ b/foxstep/xds/front.py
@@ -22,6 +22,8 @@
 MOST_REPORT = 4 * 1024 * 1024
 OPEN_RATE = 1_000_000      # a rate that turns nothing away
 QUOTAS = "foxstep.quotas"  # client feature: levels reach it by quota assignments
+HOMES = "foxstep.home"     # client feature: it dials where a stream's end sends it
+HOME = "foxstep-home"      # trailing metadata that says where
 TABLES = "foxstep.tables"  # client feature: it checks what a change builds on and comes to
 FIRST = [resources.LINE, resources.LINES, resources.ROUTES, resources.CLUSTER]  # which carries a mark
 NODE_MOST = 64
@@ -40,7 +42,7 @@
         self.front, self.ident, self.zone = front, node.id, node.locality.zone
         self.rate, self.quotas = min(max(told, 0.0), OPEN_RATE), QUOTAS in node.client_features
         self.holds = facts["holds"].string_value if "holds" in facts else ""
-        self.incremental = incremental
+        self.incremental, self.goes_home, self.home = incremental, HOMES in node.client_features, ""
         epoch = front.host.epoch
         if incremental:
             self.session = DeltaSession(self.render_each, self.weights, epoch, TABLES in node.client_features)
@@ -82,6 +84,11 @@
         self.ended = self.ended or reason
         self.stirred.set()
 
+    def send_home(self, address):
+        """Ends the stream and says which controller to dial; only for clients that know of homes."""
+        self.home = address
+        self.end("its home is another controller")
+
     # -- as resources
 
     def levels_in_lines(self):
@@ -292,6 +299,8 @@
             if self.streams.get(ident) is stream:
                 del self.streams[ident]
         if reason not in ("closed by the client", "broken"):
+            if stream.home:
+                context.set_trailing_metadata(((HOME, stream.home),))
             await context.abort(grpc.StatusCode.ABORTED, reason)
 
     async def read_requests(self, stream, requests):
--- /dev/null
+++ b/tests/test_sharing.py
@@ -0,0 +1,103 @@
+"""Controllers that share proxies, on real sockets: who is alive, who is sent home, whose order is refused."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+import grpc
+import pytest
+from live import SERVERS, clock, controller, open_lines, until
+
+from foxstep.operate.service import PEERS, ask
+from foxstep.peers.sharing import Sharing
+from foxstep.proxy.program import Proxy
+from foxstep.proxy.table import Refused, Table, content_hash
+from foxstep.site import read_site
+from foxstep.site.load import EXAMPLES
+
+pytestmark = pytest.mark.anyio
+
+
+class Pair:
+    """Two controllers that know of each other, the first in the east."""
+
+    def __init__(self, hosts, addresses, sharing):
+        self.hosts, self.addresses, self.sharing = hosts, addresses, sharing
+
+
+@asynccontextmanager
+async def pair(**changes):
+    async with controller(me=0, zone="east", grace=800_000, **changes) as (one, at_one), \
+            controller(me=1, zone="west", grace=800_000, **changes) as (two, at_two):
+        sockets = [await anyio.create_udp_socket(local_host="127.0.0.1") for _ in range(2)]
+        notes = [f"127.0.0.1:{s.extra(anyio.abc.SocketAttribute.local_port)}" for s in sockets]
+        sharing = [Sharing(one, "loopback", 0, {1: (notes[1], at_two, "west")}, sockets[0]),
+                   Sharing(two, "loopback", 1, {0: (notes[0], at_one, "east")}, sockets[1])]
+        for host, part in zip((one, two), sharing, strict=True):
+            host.operator.sharing = part
+            host.listed("whole", open_lines(*SERVERS))
+        async with anyio.create_task_group() as group:
+            for part in sharing:
+                group.start_soon(part.run)
+            await until(lambda: all(part.membership.alive() == [0, 1] for part in sharing))
+            yield Pair((one, two), (at_one, at_two), sharing)
+            group.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def proxy(made, zone, ident="proxy", first=0):
+    site = read_site(f"{EXAMPLES}/loopback.jsonnet")
+    addresses = [made.addresses[first], made.addresses[1 - first]]
+    one = Proxy(ident, zone, site.plain(), site.name, [{"name": o.name, "method": ""} for o in site.op_types],
+                addresses, SERVERS[:1], lambda: clock() / 1e6)
+    async with anyio.create_task_group() as group:
+        group.start_soon(one.run)
+        yield one
+        group.cancel_scope.cancel()
+
+
+async def test_a_proxy_is_sent_home_to_its_zone_and_keeps_its_table_on_the_way():
+    async with pair() as made, proxy(made, "west") as one:
+        await until(lambda: "proxy" in made.hosts[1].joins, 6)
+        await until(lambda: "proxy" not in made.hosts[0].joins and one.table.name)
+        assert len(one.table.lines) > 1 and one.control.refusals == 0
+
+
+async def test_the_successor_ranks_above_whom_it_takes_over_from():
+    async with pair() as made, proxy(made, "east") as one:
+        await until(lambda: one.table.name)
+        before = one.table.epoch
+        made.hosts[0].send_home("proxy", made.addresses[1])
+        await until(lambda: "proxy" in made.hosts[1].joins and one.table.epoch > before)
+
+
+def test_an_order_of_an_epoch_that_is_over_is_refused_by_the_receiver():
+    table = Table()
+    whole = content_hash({"a": 1000})
+    table.take(f"70.1 - {whole}", {"a": 1000}, [])
+    with pytest.raises(Refused, match="epoch 69 is over"):
+        table.take(f"69.9 {whole} {content_hash({'a': 2000})}", {"a": 2000}, [])
+    assert table.lines == {"a": 1000} and table.name == "70.1"
+    table.take(f"71.1 {whole} {content_hash({'a': 2000})}", {"a": 2000}, [])
+    assert table.lines == {"a": 2000}
+
+
+async def test_an_operator_sees_drains_and_moves():
+    async with pair() as made, proxy(made, "east") as one:
+        await until(lambda: one.table.name)
+        seen = await ask(made.addresses[0], PEERS)
+        assert seen["alive"] == [0, 1] and list(seen["proxies"]) == ["proxy"]
+        with pytest.raises(grpc.RpcError, match="no controller 7"):
+            await ask(made.addresses[0], PEERS, {"proxy": "proxy", "to": 7})
+        await ask(made.addresses[0], PEERS, {"drain": True})
+        await until(lambda: "proxy" in made.hosts[1].joins, 6)
+        await until(lambda: not made.hosts[0].joins)
+
+
+async def test_a_peer_that_leaves_is_known_to_be_gone_at_once_and_odd_notes_are_dropped():
+    async with pair() as made:
+        port = int(made.sharing[1].membership.members[0].address.rpartition(":")[2])
+        async with await anyio.create_udp_socket(local_host="127.0.0.1") as odd:
+            for data in (b"", b"x" * 9000, bytes(40), b"\xff" * 30):
+                await odd.sendto(data, "127.0.0.1", port)
+        await made.sharing[1].leave()
+        await until(lambda: made.sharing[0].membership.alive() == [0])
