--- a/foxstep/advice/advice.py
+++ b/foxstep/advice/advice.py
@@ -37,14 +37,15 @@
     def __init__(self, site):
         self.head, self.backlog = site["head"], site["backlog"]
         self.period = 2 * site["cycle"]
-        self.rolls, self.standing, self.left_over = {}, None, False
+        self.rolls, self.standing, self.picture, self.look_at = {}, None, None, 0
+        self.left_over = {}   # balancers that are still to be looked at, as a set in order
 
     # -- what comes in
 
     def enroll(self, ident, groups):
         """`groups`: group -> {server: whether it asked for no new work}, all that the balancer has."""
         roll = self.rolls.setdefault(ident, Roll())
-        roll.groups, roll.fresh, self.left_over = groups, True, True
+        roll.groups, roll.fresh, self.left_over[ident] = groups, True, None
 
     def most_lines(self):
         return int(MOST * self.backlog)
@@ -77,28 +78,40 @@
     def due(self, now, standing, waiting):
         """Names the balancers that are to be told now, one by one: their rolls' `lines` are then what they
         are meant to hold. `waiting`: lines that wait in the channel. Nobody is told before a list came."""
-        if not standing and self.standing is None or standing == self.standing and not self.left_over:
+        if not standing and self.standing is None:
             return
-        self.standing, self.left_over = standing, False
-        for room, ident, lines, cost in self.changes(now, standing):
+        # Who may be picked, and who is warm, is looked at each time; how warm a cold one is, which changes
+        # all the time, twenty times a period.
+        picture = {server: (bool(weight), sure == 1) for server, (weight, _, sure) in standing.items()}
+        if picture == self.picture and now < self.look_at and not self.left_over:
+            return
+        rolls = self.left_over
+        if standing != self.standing:
+            rolls = dict.fromkeys(self.rolls)
+        self.standing, self.picture, self.left_over = standing, picture, {}
+        self.look_at = now + self.period // 20
+        for room, ident, lines, cost in self.changes(now, standing, rolls):
             if waiting + cost > room * self.backlog:
-                self.left_over = True
+                self.left_over[ident] = None
                 continue
             roll, waiting = self.rolls[ident], waiting + cost
             roll.lines, roll.fresh = lines, False
             roll.calm_at = now + self.period if lines else 0
             yield ident
 
-    def changes(self, now, standing):
+    def changes(self, now, standing, idents):
         """(part of the backlog, balancer, its lines, cost) of all that are due, a rule's changes first."""
         due = []
-        for ident, roll in self.rolls.items():
+        for ident in idents:
+            roll = self.rolls.get(ident)
+            if roll is None:
+                continue
             meant = self.meant(roll, standing)
             room = CALM
             if roll.fresh or self.pressing(roll.lines, meant, standing):
                 room = FRESH if roll.fresh else RULE
             if room < RULE and now < roll.calm_at:
-                self.left_over = True
+                self.left_over[ident] = None
                 continue
             off = {n for n, w in meant.items() if abs(roll.lines.get(n, 0) - w) > OFF_BY * w}
             if room == CALM and not off:
--- a/foxstep/advice/weigh.py
+++ b/foxstep/advice/weigh.py
@@ -7,9 +7,10 @@
 
 def whole_system(standing, server):
     """A member without a port is all servers of its address: what they may have together."""
-    host, _, port = server.rpartition(":")
-    if port != "0":
-        return standing.get(server)
+    told = standing.get(server)
+    if told is not None or not server.endswith(":0"):
+        return told
+    host = server[:-2]
     those = [told for ident, told in standing.items() if ident.rpartition(":")[0] == host]
     if not those:
         return None
--- a/foxstep/measure/sasp.py
+++ b/foxstep/measure/sasp.py
@@ -88,7 +88,7 @@
 
 
 async def measured(process, lists, sasp, servers, balancers, rounds):
-    latency, everyone = HdrHistogram(1, 60_000_000, 3), []
+    out, back, everyone = HdrHistogram(1, 60_000_000, 3), HdrHistogram(1, 60_000_000, 3), []
     async with anyio.create_task_group() as group:
         group.start_soon(lists.run)
         await anyio.sleep(3)
@@ -110,7 +110,7 @@
                 for one in everyone:
                     await one.heard.wait()
             for one in everyone:
-                latency.record_value(max(1, int((one.at - began) * 1e6)))
+                (back if k % 2 else out).record_value(max(1, int((one.at - began) * 1e6)))
         cpu, _ = used(process.pid)
         asked, began, until = 0, clock(), clock() + 2
 
@@ -125,13 +125,16 @@
         took = clock() - began
         busy = used(process.pid)[0] - cpu
         group.cancel_scope.cancel()
-    return (balancers, len(servers), *(latency.get_value_at_percentile(p) / 1000 for p in (50, 99, 100)),
-            (after - before) * 1024 / balancers, asked / took, asked / busy if busy else 0.0)
+    return (balancers, len(servers), *(out.get_value_at_percentile(p) / 1000 for p in (50, 99, 100)),
+            back.get_value_at_percentile(99) / 1000, (after - before) * 1024 / balancers, asked / took, asked
+            / busy if busy else 0.0)
 
 
 def run(sizes):
     codec()
-    click.echo("balancers  members  push ms: p50     p99     max  KiB a session  questions/s  a CPU second")
+    click.echo("balancers  members  drain told ms: p50     p99     max  back: p99  KiB a session"
+               "  questions/s  a CPU s")
     for balancers, members in sizes:
         figures = anyio.run(one_size, balancers, members)
-        click.echo("{:9d} {:8d} {:12.1f} {:7.1f} {:7.1f} {:14.0f} {:12,.0f} {:13,.0f}".format(*figures))
+        shape = "{:9d} {:8d} {:18.1f} {:7.1f} {:7.1f} {:10.1f} {:14.0f} {:12,.0f} {:8,.0f}"
+        click.echo(shape.format(*figures))
--- a/foxstep/standins/tap.py
+++ b/foxstep/standins/tap.py
@@ -36,7 +36,8 @@
         self.lost = {}  # proxy -> events that end its streams
 
     async def start(self):
-        self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
+        self.server = grpc.aio.server(options=[
+            ("grpc.so_reuseport", 0), ("grpc.http2.min_recv_ping_interval_without_data_ms", 50)])
         self.server.add_generic_rpc_handlers((self,))
         self.port = self.server.add_insecure_port("127.0.0.1:0")
         await self.server.start()
