--- a/foxstep/commands/drill.py
+++ b/foxstep/commands/drill.py
@@ -50,6 +50,12 @@
                    f"{took:.2f} s ({'bound' if took <= bound else 'LATER than the bound'} {bound:.2f} s, "
                    f"{away:.2f} s of it the controller's absence), {len(missing)} do not"
                    + (f": {', '.join(missing[:3])}" if missing else ""))
+    owners = audit.ownerless()
+    if owners:
+        what, longest, proxies, bound = max(owners, key=lambda one: one[1] - one[3])
+        within = sum(one[1] <= one[3] for one in owners)
+        click.echo(f"  without an owner, after {len(owners)} kills and stops: {within} within their bound; "
+                   f"at the worst {longest:.2f} s, {proxies} proxies, {what} (bound {bound:.2f} s)")
     service, base = audit.service(), other.service() if other else {}
     stretches = sorted({part for _, part in service if part != "all"})
     click.echo(f"  service{'':16}" + "".join(f"{f'{10 * p} s':>7}" for p in stretches) + f"{'all':>7}")
--- a/foxstep/drills/audit.py
+++ b/foxstep/drills/audit.py
@@ -7,6 +7,7 @@
 from collections import Counter, defaultdict
 
 MICRO = 1e-6
+TAP = 10_000_000   # a controller's streams are numbered from its own number times this
 REDIAL_MOST = 2.0  # seconds: a proxy's longest wait before a dial, and a connection's before it is tried anew
 
 
@@ -293,6 +294,39 @@
         last = max((since[p] for p in there), default=begin)
         return max(0.0, last - begin), len(there), [p for p in joined if not held.get(p)]
 
+    # -- owners
+
+    def ownerless(self):
+        """For each controller that was killed or stopped: (what, seconds until the last of its proxies had a
+        table of another life or controller, how many it had, the bound). Streams tell the controller."""
+        taps = 1 + max((r["stream"] // TAP for r in self.rows["joined"]), default=0)
+        if taps < 2:
+            return []
+        known = {r["proxy"] for r in self.rows["written"] if r["kind"] == "LbEndpoint"}
+        tables, out, struck = defaultdict(list), [], 0
+        for row in self.rows["table"]:
+            tables[row["proxy"]].append((row["t"], row["stream"]))
+        for event in self.rows["event"]:
+            if not event["what"].startswith(("kill ", "stop ")):
+                continue
+            at, controller, gaps = event["t"], struck % taps, []
+            struck += 1
+            for proxy in known:
+                stream = next((s for start, until, s in self.joins[proxy] if start <= at <= until), None)
+                if stream is None or stream // TAP != controller:
+                    continue
+                after = next((t for t, other in tables[proxy] if t > at and other != stream), None)
+                gaps.append((self.end if after is None else after) - at)
+            if gaps:
+                out.append((event["what"], max(gaps), len(gaps), self.owner_bound(len(gaps))))
+        return out
+
+    def owner_bound(self, proxies):
+        """Silence is noticed in three eighths of the grace, one dial in vain takes four, the next begins
+        within a fifth of a second; then whole tables for all that come, in the channel's lines."""
+        grace, lines = self.site["grace"] * MICRO, self.site["standing"] + self.site["head"] + 1
+        return 7 / 8 * grace + 2 * 0.2 + proxies * lines / self.site["lines_per_s"]
+
     # -- service
 
     def advised(self):
--- a/foxstep/peers/place.py
+++ b/foxstep/peers/place.py
@@ -8,8 +8,8 @@
 one after the other, by a pace that leaves the channel to other things.
 """
 
+from hashlib import blake2b
 from math import ceil
-from zlib import crc32
 
 SLACK = 1.25       # a controller is given no more than so many times its even part of the proxies
 SETTLED = 10       # periods for which a home has to have been alive before proxies are sent there
@@ -17,12 +17,14 @@
 
 
 def score(controller, proxy):
-    return crc32(f"{controller} {proxy}".encode())
+    """BLAKE2b rather than crc32, which is linear: scores of two controllers would go together."""
+    return blake2b(f"{controller} {proxy}".encode(), digest_size=8).digest()
 
 
 def preferred(proxy, zone, controllers, zone_of):
     """Controllers in the order in which they should serve a proxy: those of its zone first."""
-    return sorted(controllers, key=lambda c: (zone_of.get(c) != zone, -score(c, proxy), c))
+    by_score = sorted(controllers, key=lambda c: score(c, proxy), reverse=True)
+    return sorted(by_score, key=lambda c: zone_of.get(c) != zone)
 
 
 class Homing:
