Controllers tell each other what they have learnt, by deltas within bounded bytes a second

A successor learnt weights, failing servers and C anew, and knew of drains only by its own list.

Each controller now writes facts (usual weights, withdrawals, state and start of servers, C, versions held) under counts of its own; digests and deltas (after Scuttlebutt) bring the others up to date within bytes a second, by lanes, so that holders never delay servers. Words count by their age and only where a controller has nothing of its own; a word of a drain hides half of the fleet at most; C goes with a proxy once. The store keeps the same facts for the next life. The module gained learnt() and inherited() and lost allowed(), which standing() tells already.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -135,6 +135,25 @@
 
     def told(self, now, peer, payload): ...
 
+    def learnt(self, now, ident, weight, withdrawn):
+        """Another controller's word, or a former life's: it counts where this one has nothing of its own.
+
+        Guards against a successor that learns weights and failing servers anew. Harm: a word that is wrong
+        stands until tries or probes of its own say otherwise; withdrawals by it stay a small part."""
+        server = self.servers.get(ident)
+        if server is None or server.state != "open" or server.tries.sums(self.bucket_time(now))[0] >= MANY:
+            return
+        server.weight, self.place_at = min(max(weight, 0.1), 4.0), float("inf")  # kinds need no measure then
+        out, known = sum(s.trust == 0 for s in self.open_servers()), len(self.open_servers())
+        if withdrawn and server.trust == 1 and out < SOFT_PART * (known - 1):
+            server.trust, server.trust_since, server.strikes = 0.0, now, server.strikes + 1
+            self.urgent.update(server.holders)
+        self.pressing = True
+
+    def inherited(self, now, part):
+        """C of proxies that another controller served until now; below 0: of those that it now serves."""
+        self.capacity = max((self.capacity or 0.0) + part, 0.0) or None
+
     def joined(self, now, ident, zone, rate, fresh):
         proxy = self.proxies.get(ident)
         if proxy is None:
@@ -413,10 +432,6 @@
         warm = any(self.warmth(s) == 1 for s in table)
         return table if warm else {s: s.weight * self.warmth(s) for s in candidates}
 
-    def allowed(self):
-        """The part of its usual weight that each server may have now; who is not named may have none."""
-        return {s.ident: weight / s.weight for s, weight in self.want.items() if s.weight}
-
     def standing(self):
         """What advice goes by: (weight in the shared table, its usual one, what it surely can do of that)."""
         known = self.open_servers()
--- a/foxstep/commands/serve.py
+++ b/foxstep/commands/serve.py
@@ -12,6 +12,7 @@
 from foxstep.balance import Controller
 from foxstep.live.host import Host
 from foxstep.operate.service import OperatorService
+from foxstep.peers.learning import Learning
 from foxstep.peers.sharing import Sharing
 from foxstep.sasp.front import SaspFront
 from foxstep.xds.front import MOST_REPORT, Front
@@ -55,11 +56,11 @@
     front = Front(host, site.name, op_types)
     server = grpc.aio.server(options=OPTIONS)
     front.add_to(server)
-    sharing = None
+    sharing, learning = None, Learning(host, me, site.controllers.exchange)
     if shared.get("peers"):
         notes_host, _, notes_port = shared["notes"].rpartition(":")
         notes = await anyio.create_udp_socket(local_host=notes_host, local_port=int(notes_port))
-        sharing = Sharing(host, site.name, me, shared["peers"], notes, shared.get("lose", 0.0))
+        sharing = Sharing(host, learning, site.name, me, shared["peers"], notes, shared.get("lose", 0.0))
     server.add_generic_rpc_handlers((OperatorService(host, sharing),))
     port = server.add_insecure_port(listen)
     prober = Prober(host)
@@ -78,8 +79,7 @@
             group.start_soon(wait_for_signal, group.cancel_scope)
             group.start_soon(host.run)
             group.start_soon(prober.run)
-            if sharing:
-                group.start_soon(sharing.run)
+            group.start_soon(sharing.run if sharing else learning.run)
             if asking:
                 advice = msgspec.structs.asdict(site.advice)
                 group.start_soon(SaspFront(host, advice).run, asking)
--- a/foxstep/drills/even.py
+++ b/foxstep/drills/even.py
@@ -27,12 +27,9 @@
     def next_order(self, now):
         return self.orders.pop(0) if self.orders else None
 
-    def allowed(self):
-        return {server: 1.0 for server, weight in self.servers.items() if weight}
-
     def standing(self):
         return {server: (1.0, 1.0, 1.0) for server, weight in self.servers.items() if weight}
 
     def ignored(self, *_): ...
 
-    woken = probed = told = left = heard = used = applied = ignored
+    woken = probed = told = learnt = inherited = left = heard = used = applied = ignored
--- a/foxstep/interface.py
+++ b/foxstep/interface.py
@@ -57,10 +57,14 @@
 
     def next_order(self, now: int) -> Order | None: ...
 
-    def allowed(self) -> dict[str, float]:
-        """The part of its usual weight (0 to 1) that each server may have in any table now; a server that is
-        not named may have none. What a host cuts tables of an earlier day by."""
+    def learnt(self, now: int, server: str, weight: float, withdrawn: bool) -> None:
+        """What a former life or another controller knew of a server: its usual weight against the mean of
+        all, and whether it was withdrawn. For a controller that has no tries of its own there."""
+
+    def inherited(self, now: int, part: float) -> None:
+        """C, ops a second, that came with proxies of another controller's (below 0: went with them)."""
 
     def standing(self) -> dict[str, tuple[float, float, float]]:
         """Of each open server: its weight in the shared table now (0: none), its usual weight, and the part
-        of it that it surely can do (1: warm). What advice to others than proxies goes by."""
+        of it that it surely can do (1: warm). What advice to others than proxies goes by, tables of an
+        earlier day are cut by, and other controllers are told."""
--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -54,7 +54,7 @@
         self.site, self.seed, self.clock, self.off = site, seed, clock, frozenset(off)
         self.log = structlog.get_logger("foxstep.live")
         now = clock()
-        self.wall_offset = wall() - now
+        self.wall, self.wall_offset = wall, wall() - now
         self.store = Store(directory, wall, me=site["me"]) if directory else Nowhere(wall, site["me"])
         self.epoch = self.store.epoch
         # Without its guard the queue is no matter: the module is told that the channel takes all at once.
@@ -67,7 +67,8 @@
         pace = site["lines_per_s"] / (8 if "queue" in self.off else 1)
         self.channel = Channel(pace, site["backlog"], site["messages_most"], site["messages_window"],
                                bounded="queue" not in self.off)
-        self.listed_lines = {}                     # server -> its line, as last told
+        self.listed_lines, self.told_at = {}, {}   # server -> its line as the list told it; since when so
+        self.shaded = {}                           # server -> the line that stands in for it (`shade`)
         self.intake = Intake(site["cycle"], site["intake_per_s"], self.listed_lines.__contains__)
         self.repairs = Repairs(site["cycle"] // 2)
         self.desk = Desk(site, self.epoch)
@@ -78,6 +79,7 @@
         self.next_round, self.room_at, self.look_at = now + site["cycle"], None, now
         self.stirred = anyio.Event()
         self.because, self.orders = [], 0
+        self.on_joined = self.on_left = lambda *_: None  # where controllers share the fleet
         self.notes, self.lag = "", 0               # the longest that the loop was late since last looked at
         self.to_answer = HdrHistogram(1, 600 * SECOND, 3)  # from order to acceptance, microseconds
         self.probe = self.watch = self.fetch = lambda *_: None
@@ -102,22 +104,51 @@
         if how in ("whole", "remembered"):
             named = {line[0] for line in lines}
             for ident, line in self.listed_lines.items():
-                if ident not in named:
+                if ident not in named and line[4] != "gone":
                     self.listed_lines[ident] = (*line[:4], "gone", *line[5:])
+                    self.told_at[ident] = self.clock()
+                    self.shaded.pop(ident, None)
+        for line in lines:
+            known = self.listed_lines.get(line[0])
+            if known is None or known[4] != line[4] or abs(known[6] - line[6]) > self.site["cycle"]:
+                self.told_at[line[0]] = 0 if how == "remembered" else self.clock()
+                self.shaded.pop(line[0], None)
         self.listed_lines.update((line[0], line) for line in lines)
-        self.controller.listed(self.clock(), how, lines)
+        self.controller.listed(self.clock(), how, [self.shaded.get(line[0], line) for line in lines])
         if how in ("whole", "changes"):
             kept = [(*line[:6], line[6] and line[6] + self.wall_offset)
                     for line in self.listed_lines.values() if line[4] != "gone"]
             self.store.list(kept)
         self.stir(f"listed {how} {len(lines)}")
 
+    def shade(self, shaded, lines):
+        """Servers of which others have heard what this one's list does not tell yet: server -> the line that
+        stands in for its own; `lines`: those that are to be told now, in place of what was told."""
+        self.shaded = shaded
+        if lines:
+            self.controller.listed(self.clock(), "changes", lines)
+            self.stir(f"heard of {len(lines)}")
+
+    def learnt(self, words):
+        """What others, or a former life, knew of servers: (server, weight, withdrawn)."""
+        for word in words:
+            self.controller.learnt(self.clock(), *word)
+        if words:
+            self.stir(f"learnt {len(words)}")
+
+    def inherited(self, part):
+        """C that came with proxies of others, or (below 0) went with them."""
+        self.log.info("inherited", part=round(part, 1), capacity=self.controller.capacity)
+        self.controller.inherited(self.clock(), part)
+        self.stir("inherited")
+
     def joined(self, ident, zone, rate, fresh, outlet, told=""):
         """A proxy's stream is up; `told` is the version that it says it holds. An older stream under the
         same id is ended: its queue is void."""
         self.enter(ident, zone, rate, outlet, told)
         self.book.join(ident)
         self.controller.joined(self.clock(), ident, zone, rate, fresh)
+        self.on_joined(ident, rate)
         self.stir(f"joined {ident}")
 
     def enrolled(self, ident, zone, outlet, told=""):
@@ -167,6 +198,7 @@
         self.repairs.forget(ident)
         if joined.rate is not None:
             self.controller.left(self.clock(), ident)
+            self.on_left(ident, joined.rate)
         self.log.info("left", proxy=ident, reason=reason)
         self.stir(f"left {ident}")
 
@@ -254,10 +286,11 @@
             else:
                 self.log.error("order not carried out", verb=verb)
         zones = {ident: joined.zone for ident, joined in self.joins.items()}
-        standing = self.controller.standing() if self.desk.advice.rolls else None
+        standing = self.controller.standing()
+        allowed = {server: weight / usual for server, (weight, usual, _) in standing.items() if weight}
         ordered = self.book.close_batch()
         waiting = self.channel.lines_waiting(now) + sum(message.cost for message in ordered)
-        messages = self.desk.shape(now, ordered, self.book, zones, self.controller.allowed(),
+        messages = self.desk.shape(now, ordered, self.book, zones, allowed,
                                    "; ".join(self.because), standing, waiting)
         for message in messages:
             self.channel.offer(now, message)
--- a/foxstep/peers/notes.py
+++ b/foxstep/peers/notes.py
@@ -1,5 +1,6 @@
 """The controllers' notes on the wire: one datagram each, msgpack, loopback. What is lost is lost."""
 
+from typing import Any
 from zlib import crc32
 
 import anyio
@@ -7,11 +8,21 @@
 import structlog
 
 MOST = 4_096          # bytes of a note
+ROOM = 1_200          # of which facts take about so many: what one packet carries anywhere
 SECOND = 1_000_000
 CHECK = 4             # a note begins with a checksum of the rest: what is torn or not ours is dropped
 
 
-class Note(msgspec.Struct, array_like=True):
+class Facts(msgspec.Struct, array_like=True, tag="facts"):
+    """What a controller holds of all of them (`replica.digest`) or what another lacks (`replica.lacking`)."""
+
+    site: str
+    sender: int
+    digest: list[tuple[int, int, int, int, int, int, int | None]]
+    changes: list[tuple[int, int, int, int, int, int | None, int | None, list[tuple[str, Any, int, int]]]]
+
+
+class Note(msgspec.Struct, array_like=True, tag="note"):
     site: str
     sender: int
     incarnation: int
@@ -25,12 +36,14 @@
 class Notes:
     """Sends and hears one controller's notes. `lose`: the part of them that a drill has lost on the way."""
 
-    def __init__(self, site_name, membership, socket, clock, load, lose=0.0):
+    def __init__(self, site_name, membership, socket, clock, load, lose=0.0, replica=None,
+                 sound=lambda lane, key, value: True):
+        self.replica, self.sound, self.facts_bytes, self.turn, self.odd = replica, sound, 0, 0, 0
         self.site_name, self.membership, self.socket, self.clock = site_name, membership, socket, clock
         self.load, self.lose, self.heard, self.sent, self.bytes = load, lose, 0, 0, 0
         self.log = structlog.get_logger("foxstep.peers")
-        self.lock = anyio.Lock()
-        self.decoder = msgspec.msgpack.Decoder(Note)
+        self.lock, self.writing = anyio.Lock(), anyio.Lock()
+        self.decoder = msgspec.msgpack.Decoder(Note | Facts)
 
     async def hear(self):
         async for data, _ in self.socket:
@@ -41,7 +54,11 @@
                 note = self.decoder.decode(body)
             except msgspec.DecodeError:
                 continue
-            if note.site == self.site_name:
+            if note.site != self.site_name:
+                continue
+            if isinstance(note, Facts):
+                await self.take_facts(note)
+            else:
                 self.heard += 1
                 self.membership.heard(self.clock(), note.sender, note.verb, note.number, note.news,
                                       note.target, note.incarnation, note.load)
@@ -53,18 +70,52 @@
                 await self.send(*note)
 
     async def send(self, verb, to, number, target, news):
+        note = Note(self.site_name, self.membership.me, self.membership.incarnation, self.load(), verb,
+                    number, target, news)
+        self.bytes += await self.write(to, note)
+
+    async def write(self, to, note):
+        """Sends it, once; answers its bytes."""
         members, me = self.membership.members, self.membership.me
-        body = msgspec.msgpack.encode(Note(self.site_name, me, self.membership.incarnation, self.load(),
-                                           verb, number, target, news))
+        body = msgspec.msgpack.encode(note)
         self.sent += 1
-        self.bytes += len(body) + CHECK
         if crc32(f"{me} lost {self.sent}".encode()) / 2**32 < self.lose:
-            return
+            return len(body) + CHECK
         host, _, port = members[to].address.rpartition(":")
         try:
-            await self.socket.sendto(crc32(body).to_bytes(CHECK, "big") + body, host, int(port))
+            async with self.writing:
+                await self.socket.sendto(crc32(body).to_bytes(CHECK, "big") + body, host, int(port))
         except OSError:
             pass  # nobody listens there: as good as lost
+        return len(body) + CHECK
+
+    async def take_facts(self, note):
+        now = self.clock()
+        known = {*self.membership.members, self.membership.me}
+        named = {change[0] for change in note.changes} | {one[0] for one in note.digest}
+        told = ((change[1], key, value) for change in note.changes for key, value, _, _ in change[7])
+        if not named <= known or not all(self.sound(*fact) for fact in told):
+            self.odd += 1
+            return
+        if note.changes:
+            self.replica.answered(now, note.changes)
+        if note.digest and note.sender in self.membership.members:
+            self.replica.asked(now, note.sender, note.digest)
+            await self.answer_facts()
+
+    async def answer_facts(self):
+        while (answer := self.replica.next_answer(self.clock(), ROOM)) is not None:
+            to, changes = answer
+            self.facts_bytes += await self.write(to, Facts(self.site_name, self.membership.me, [], changes))
+
+    async def ask_facts(self):
+        """Tells one other, the next in turn, what is held of all: whoever lives answers what is lacking."""
+        others = [i for i in self.membership.alive() if i != self.membership.me]
+        if others:
+            self.turn += 1
+            to, digest = others[self.turn % len(others)], self.replica.digest(self.clock())
+            note = Facts(self.site_name, self.membership.me, digest, [])
+            self.facts_bytes += await self.write(to, note)
 
     async def tick(self):
         """Looks a tenth of a period ahead, and tells of what has changed."""
--- a/foxstep/site/types.py
+++ b/foxstep/site/types.py
@@ -41,6 +41,7 @@
     me: Count = 0
     step: Time = Time(4_000)           # the shortest gap between two batches of decisions
     peers: bool = False
+    exchange: Positive = 16_000.0      # bytes a second of what each tells the others beside who is alive
 
 
 class ServerList(Strict, kw_only=True):
--- a/foxstep/store/form.py
+++ b/foxstep/store/form.py
@@ -1,6 +1,7 @@
 """How the ledger's entries and rollbacks look in the store, and the sums that tell torn rows. No I/O."""
 
 from hashlib import blake2b
+from typing import Any
 
 import msgspec
 from immutables import Map
@@ -80,6 +81,11 @@
     return made, kept.heir
 
 
+def read_facts(body):
+    """(wall clock when it was so, a map of facts for each lane), or raises."""
+    return msgspec.msgpack.decode(body, type=tuple[int, list[dict[str, Any]]])
+
+
 def lines_body(lines):
     return msgspec.msgpack.encode(lines)
 
--- a/foxstep/store/store.py
+++ b/foxstep/store/store.py
@@ -23,6 +23,7 @@
                                     body BLOB, sum BLOB, PRIMARY KEY (epoch, count)) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS rollbacks (number INTEGER PRIMARY KEY, body BLOB, sum BLOB);
 CREATE TABLE IF NOT EXISTS holders (proxy TEXT PRIMARY KEY, version TEXT, sum BLOB) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS facts (one INTEGER PRIMARY KEY CHECK (one = 1), body BLOB, sum BLOB);
 CREATE TABLE IF NOT EXISTS servers (one INTEGER PRIMARY KEY CHECK (one = 1), body BLOB, sum BLOB);
 """
 AHEAD = 1024            # writes that may wait; beyond that the history goes on with a whole entry
@@ -112,6 +113,7 @@
 
     def read(self):
         self.entries, self.rollbacks, self.holders, self.lines = [], [], {}, []
+        self.facts = None
         fleet, chain = None, False
         for epoch, count, at, cause, whole, body, stored in self.base.execute(
                 "SELECT epoch, count, at, cause, whole, body, sum FROM entries ORDER BY epoch, count"):
@@ -139,6 +141,8 @@
                 self.holders[proxy] = held
         for body, stored in self.base.execute("SELECT body, sum FROM servers"):
             self.lines = self.sound("the list", stored, (1,), body, form.read_lines) or []
+        for body, stored in self.base.execute("SELECT body, sum FROM facts"):
+            self.facts = self.sound("what was learnt", stored, (1,), body, form.read_facts)
 
     def sound(self, what, stored, key, body, read):
         try:
@@ -172,6 +176,9 @@
     def list(self, lines):
         self.put("list", form.lines_body(lines))
 
+    def keep_facts(self, body):
+        self.put("facts", body)
+
     def flush(self, seconds=5.0):
         """Waits until what was put before is written; answers whether it is."""
         done = threading.Event()
@@ -244,11 +251,13 @@
                 self.base.execute("INSERT OR REPLACE INTO entries VALUES (?, ?, ?, ?, ?, ?, ?)",
                                   (*key, body, form.row_sum(*key, body)))
             else:
-                newest[kind, values[0] if kind != "list" else 1] = values  # the newest of a kind and key
+                key = 1 if kind in ("list", "facts") else values[0]
+                newest[kind, key] = values  # the newest of a kind and key
         for (kind, key), values in newest.items():
             body = values[-1]
             data = body.encode() if isinstance(body, str) else body
-            table = {"rollback": "rollbacks", "holder": "holders", "list": "servers"}[kind]
+            table = {"rollback": "rollbacks", "holder": "holders", "list": "servers",
+                     "facts": "facts"}[kind]
             self.base.execute(f"INSERT OR REPLACE INTO {table} VALUES (?, ?, ?)",
                               (key, body, form.row_sum(key, data)))
         self.base.execute("COMMIT")
@@ -283,12 +292,12 @@
 
     def __init__(self, wall, me=0):
         self.epoch, self.entries, self.rollbacks = epoch_after(first_epoch(wall), me), [], []
-        self.holders, self.lines = {}, []
+        self.holders, self.lines, self.facts = {}, [], None
         self.failing, self.lost, self.written = "", 0, 0
 
     def ignore(self, *_): ...
 
-    entry = rollback = holder = list = close = ignore
+    entry = rollback = holder = list = keep_facts = close = ignore
 
     def flush(self, seconds=0.0):
         return True
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,6 +10,8 @@
     met SERVER|* NAME=VALUE ...         from now on tries meet there: aborted=PART latency=MS busy=PART
                                         waiting=N probe=OUTCOME zone=ZONE quiet=1 (it is not heard of)
     wait SECONDS                        time passes; reports come every cycle
+    learnt SERVER WEIGHT [withdrawn]    another controller's word of it
+    inherited OPS                       C comes with proxies of another controller's, or goes
     late                                the next round of reports comes a cycle late, within the one after it
     applied SECONDS                     a proxy answers the last mark after so long
     expect [no] line PROXY SERVER       the proxy holds such a line
@@ -230,6 +232,11 @@
                     {k: v if k in ("probe", "zone") else float(v) for k, v in pairs.items()})
             elif verb == "applied":
                 stage.controller.applied(stage.now, 1, 0, round(float(words[0]) * SECOND))
+            elif verb == "learnt":
+                stage.controller.learnt(stage.now, words[0], float(words[1]), "withdrawn" in words)
+                stage.pull()
+            elif verb == "inherited":
+                stage.controller.inherited(stage.now, float(words[0]))
             elif verb == "late":
                 stage.late += 1
             elif verb == "wait":
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -8,6 +8,7 @@
 from live import SERVERS, clock, controller, open_lines, until
 
 from foxstep.operate.service import PEERS, ask
+from foxstep.peers.learning import Learning
 from foxstep.peers.sharing import Sharing
 from foxstep.proxy.program import Proxy
 from foxstep.proxy.table import Refused, Table, content_hash
@@ -30,8 +31,8 @@
             controller(me=1, zone="west", grace=800_000, **changes) as (two, at_two):
         sockets = [await anyio.create_udp_socket(local_host="127.0.0.1") for _ in range(2)]
         notes = [f"127.0.0.1:{s.extra(anyio.abc.SocketAttribute.local_port)}" for s in sockets]
-        sharing = [Sharing(one, "loopback", 0, {1: (notes[1], at_two, "west")}, sockets[0]),
-                   Sharing(two, "loopback", 1, {0: (notes[0], at_one, "east")}, sockets[1])]
+        sharing = [Sharing(one, Learning(one, 0), "loopback", 0, {1: (notes[1], at_two, "west")}, sockets[0]),
+                   Sharing(two, Learning(two, 1), "loopback", 1, {0: (notes[0], at_one, "east")}, sockets[1])]
         for host, part in zip((one, two), sharing, strict=True):
             host.operator.sharing = part
             host.listed("whole", open_lines(*SERVERS))
