--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -141,7 +141,7 @@
         Guards against a successor that learns weights and failing servers anew. Harm: a word that is wrong
         stands until tries or probes of its own say otherwise; withdrawals by it stay a small part."""
         server = self.servers.get(ident)
-        if server is None or server.state != "open" or server.tries.sums(self.bucket_time(now))[0] >= MANY:
+        if server is None or server.state != "open" or self.knows(now, server):
             return
         server.weight, self.place_at = min(max(weight, 0.1), 4.0), float("inf")  # kinds need no measure then
         out, known = sum(s.trust == 0 for s in self.open_servers()), len(self.open_servers())
@@ -150,6 +150,13 @@
             self.urgent.update(server.holders)
         self.pressing = True
 
+    def knows(self, now, server):
+        return server.tries.sums(self.bucket_time(now))[0] >= MANY
+
+    def weighed(self, now):
+        """The usual weight of each server that tries of its own speak of."""
+        return {s.ident: s.weight for s in self.open_servers() if s.weight and self.knows(now, s)}
+
     def inherited(self, now, part):
         """C of proxies that another controller served until now; below 0: of those that it now serves."""
         self.capacity = max((self.capacity or 0.0) + part, 0.0) or None
--- a/foxstep/commands/drill.py
+++ b/foxstep/commands/drill.py
@@ -56,6 +56,17 @@
         within = sum(one[1] <= one[3] for one in owners)
         click.echo(f"  without an owner, after {len(owners)} kills and stops: {within} within their bound; "
                    f"at the worst {longest:.2f} s, {proxies} proxies, {what} (bound {bound:.2f} s)")
+    taken, older = audit.fenced()
+    held &= not older
+    for at, text in older[:3]:
+        click.echo(f"  FENCE {at - audit.begin:.1f} s: {text}")
+    heals = audit.heals()
+    if heals:
+        held &= all(took <= bound and not never for took, _, bound, never in heals)
+        click.echo(f"  {taken} tables taken, none of an epoch that was over" if not older else "")
+    for took, away, bound, never in heals:
+        click.echo(f"  at home again after notes arrive: {away} proxies were elsewhere, the last "
+                   f"{took:.2f} s later (bound {bound:.2f} s)" + (f", {never} NEVER" if never else ""))
     service, base = audit.service(), other.service() if other else {}
     stretches = sorted({part for _, part in service if part != "all"})
     click.echo(f"  service{'':16}" + "".join(f"{f'{10 * p} s':>7}" for p in stretches) + f"{'all':>7}")
--- a/foxstep/commands/line.py
+++ b/foxstep/commands/line.py
@@ -292,6 +292,14 @@
     run(address, drain, move)
 
 
+@main.command("measure-takeover")
+@click.option("--sizes", default="120,400", help="numbers of proxies, set apart by commas")
+def measure_takeover(sizes):
+    """Measure how long proxies are without an owner when their controller dies or stands still."""
+    from foxstep.measure.takeover import run
+    run([int(size) for size in sizes.split(",")])
+
+
 @main.command("measure-peers")
 @click.option("--seconds", type=click.FloatRange(5, 3600), default=60, help="of calm, before one is killed")
 def measure_peers(seconds):
--- a/foxstep/commands/serve.py
+++ b/foxstep/commands/serve.py
@@ -24,7 +24,8 @@
            ("grpc.max_concurrent_streams", 10_000), ("grpc.keepalive_time_ms", 5_000),
            ("grpc.keepalive_timeout_ms", 2_000), ("grpc.http2.ping_timeout_ms", 2_000),
            ("grpc.http2.max_pings_without_data", 0),
-           ("grpc.http2.min_recv_ping_interval_without_data_ms", 50)]
+           # Proxies ping often, also in the moment between two streams: that ends no connection.
+           ("grpc.http2.min_recv_ping_interval_without_data_ms", 50), ("grpc.http2.max_ping_strikes", 0)]
 
 
 def clock():
--- a/foxstep/drills/audit.py
+++ b/foxstep/drills/audit.py
@@ -35,10 +35,21 @@
     def spans(self):
         """proxy -> (from, until) of its streams, the later one of two at a time counted."""
         parted = {(r["proxy"], r["stream"]): r["t"] for r in self.rows["parted"]}
-        spans = defaultdict(list)
+        spans, still = defaultdict(list), defaultdict(list)
+        for row in self.rows["event"]:
+            if row["what"].startswith("controller "):
+                _, k, _, _, seconds = row["what"].split()
+                still[int(k)].append((row["t"], row["t"] + float(seconds)))
+        # A client that knows no other controller is with nobody while its own stands still.
+        bound = {row["name"] for row in self.rows["place"] if row["what"] == "stock"}
         for row in self.rows["joined"]:
-            until = parted.get((row["proxy"], row["stream"]), self.end)
-            spans[row["proxy"]].append((row["t"], until, row["stream"]))
+            since, until = row["t"], parted.get((row["proxy"], row["stream"]), self.end)
+            for begin, end in still[row["stream"] // TAP] if row["proxy"] in bound else ():
+                if since < end and until > begin:
+                    if since < begin:
+                        spans[row["proxy"]].append((since, begin, row["stream"]))
+                    since = min(end, until)
+            spans[row["proxy"]].append((since, until, row["stream"]))
         return spans
 
     def told_lists(self):
@@ -307,7 +318,7 @@
         for row in self.rows["table"]:
             tables[row["proxy"]].append((row["t"], row["stream"]))
         for event in self.rows["event"]:
-            if not event["what"].startswith(("kill ", "stop ")):
+            if not event["what"].startswith(("kill ", "stop ", "old ")):
                 continue
             at, controller, gaps = event["t"], struck % taps, []
             struck += 1
@@ -327,6 +338,66 @@
         grace, lines = self.site["grace"] * MICRO, self.site["standing"] + self.site["head"] + 1
         return 7 / 8 * grace + 2 * 0.2 + proxies * lines / self.site["lines_per_s"]
 
+    def fenced(self):
+        """(accepted tables, those among them of a lower epoch than one accepted before), by their names."""
+        version_of = {(r["proxy"], r["nonce"]): r["version"] for r in self.rows["written"]
+                      if r["kind"] == "LbEndpoint"}
+        highest, taken, older = {}, 0, []
+        for row in self.rows["answer"]:
+            name = version_of.get((row["proxy"], row["nonce"]))
+            if name and not row["refusal"]:
+                epoch, taken, before = int(name.partition(".")[0]), taken + 1, highest.get(row["proxy"], 0)
+                if epoch < before:
+                    older.append((row["t"], f"{row['proxy']} took {name} after epoch {before}"))
+                highest[row["proxy"]] = max(epoch, before)
+        return taken, older
+
+    def heals(self):
+        """For each time that notes arrive again: (seconds until the last proxy was, and stayed, with a
+        controller of its zone, how many were elsewhere then, the bound, how many never were), until the next
+        strike on controllers."""
+        homes, zones = defaultdict(set), {}
+        for row in self.rows["place"]:
+            if row["what"] == "controller":
+                homes[row["zone"]].add(int(row["name"]))
+            elif row["what"] == "proxy":
+                zones[row["name"]] = row["zone"]
+        ours = {r["proxy"] for r in self.rows["written"] if r["kind"] == "LbEndpoint"}
+        strikes = ("kill ", "stop ", "old ", "hush ", "deaf ", "isolate ")
+        out = []
+        for event in self.rows["event"]:
+            if event["what"] != "notes arrive again":
+                continue
+            at = event["t"]
+            until = min([r["t"] for r in self.rows["event"] if r["t"] > at and r["what"].startswith(strikes)],
+                        default=self.end)
+            took, away, never = 0.0, 0, 0
+            for proxy in ours & zones.keys():
+                spans = [s for s in self.joins[proxy] if s[1] > at and s[0] < until]
+                wrong = [end for start, end, stream in spans
+                         if stream // TAP not in homes[zones[proxy]]]
+                away += bool(wrong)
+                never += bool(wrong) and max(wrong) >= until
+                took = max([took, *(min(end, until) - at for end in wrong)])
+            out.append((took, away, self.heal_bound(away, len(self.controllers())), never))
+        return out
+
+    def controllers(self):
+        return [r for r in self.rows["place"] if r["what"] == "controller"]
+
+    def heal_bound(self, away, controllers):
+        """An eighth of the grace between pings, five times as long by one that is unwell, to all others in
+        turn, until one in a thousand fails; fourteen of them to be sure; then one proxy after the other
+        within a quarter of the channel, and a dial."""
+        told = [r["what"].split() for r in self.rows["event"]]
+        lost = next((float(words[1]) for words in told if words[0] == "lose" and len(words) == 2), 0.0)
+        period, fails, tries = self.site["grace"] * MICRO / 8, 1 - (1 - lost) ** 2, 1
+        while fails ** tries > 1e-3:
+            tries += 1
+        lines = self.site["head"] + 1 + self.site["standing"]
+        return ((tries * (controllers - 1) * 5 + 14) * period + 1.0
+                + away * lines / (0.25 * self.site["lines_per_s"]))
+
     # -- service
 
     def advised(self):
--- a/foxstep/drills/even.py
+++ b/foxstep/drills/even.py
@@ -30,6 +30,9 @@
     def standing(self):
         return {server: (1.0, 1.0, 1.0) for server, weight in self.servers.items() if weight}
 
+    def weighed(self, now):
+        return {}
+
     def ignored(self, *_): ...
 
     woken = probed = told = learnt = inherited = left = heard = used = applied = ignored
--- a/foxstep/drills/notation.py
+++ b/foxstep/drills/notation.py
@@ -20,6 +20,10 @@
     at T cut N for S                      proxies reach no controller
     at T kill back S                      the controller is killed and comes back (of several, the next)
     at T stop for S                       the next controller in turn stands still (SIGSTOP)
+    at T old back S                       the same, but its store is that of the day's beginning again
+    at T hush for S                       no note between controllers arrives
+    at T deaf N for S                     no note to controller N arrives; its own do
+    at T isolate ZONE for S               controllers and proxies of a zone reach no others, nor others them
     at T fail TYPE PART on N for S        an op type fails on some servers
     at T lose PART on N for S             servers do the work, but their answers never arrive
     at T refuse N for S                   servers refuse connections in mid-stream, and listen again (warm)
@@ -51,6 +55,7 @@
     "list": "broken for N",
     "late": "N for N", "mute": "N for N", "poison": "N for N", "rejoin": "N", "remember": "", "bad": "N",
     "rollback": "", "unpin": "", "stop": "for N",
+    "old": "back N", "hush": "for N", "deaf": "N for N", "isolate": "W for N",
 }
 RATES = {"proxies": "proxy_rate", "stock": "stock_rate", "balancers": "balancer_rate"}
 TIMES = ("for", "back")  # words whose number is a stretch of time, scaled with the day
--- a/foxstep/drills/record.py
+++ b/foxstep/drills/record.py
@@ -26,7 +26,7 @@
     "way": {"proxy": "s", "op_type": "s", "retry_on": "s", "retries": "i"},
     "quota": {"proxy": "s", "op_type": "s", "rate": "f", "blanket": "i"},
     "report": {"proxy": "s", "size": "i", "lines": "i"},
-    "standing": {"proxy": "s", "servers": "S"},
+    "standing": {"proxy": "s", "servers": "S"}, "place": {"what": "s", "name": "s", "zone": "s"},
     "event": {"what": "s"}, "ordered": {"verb": "s", "version": "s", "bound": "f"},
 }
 TYPES = {"s": pa.string(), "f": pa.float64(), "i": pa.int64(), "b": pa.bool_(),
--- a/foxstep/interface.py
+++ b/foxstep/interface.py
@@ -61,6 +61,10 @@
         """What a former life or another controller knew of a server: its usual weight against the mean of
         all, and whether it was withdrawn. For a controller that has no tries of its own there."""
 
+    def weighed(self, now: int) -> dict[str, float]:
+        """The usual weight of each open server that this controller has tries of its own of: what others are
+        told. Whoever only heard of a weight does not tell it."""
+
     def inherited(self, now: int, part: float) -> None:
         """C, ops a second, that came with proxies of another controller's (below 0: went with them)."""
 
--- a/foxstep/peers/bounds.py
+++ b/foxstep/peers/bounds.py
@@ -3,7 +3,7 @@
 from math import ceil, log
 
 from foxstep.peers.membership import MOST_HEALTH
-from foxstep.peers.place import SETTLED
+from foxstep.peers.place import SETTLED, STOOD
 
 RARE = 1e-3       # what a bound may be passed by for want of luck
 
@@ -21,6 +21,7 @@
 
 
 def heal_bound(period, others, spacing, proxies, lost=0.0, redial=1_000_000):
-    """From the end of a split until every proxy is at home again: the others are found, have been there for
-    as long as is asked for, and proxies are sent home one after the other, each of which then dials."""
-    return found_within(period, others, lost) + SETTLED * period + proxies * spacing + redial
+    """From the end of a split until every proxy is at home again: the others are found, have been there and
+    been a proxy's home for as long as is asked for, and proxies are sent one after the other, and dial."""
+    sure = (SETTLED + STOOD) * period
+    return found_within(period, others, lost) + sure + proxies * spacing + redial
--- a/foxstep/peers/learning.py
+++ b/foxstep/peers/learning.py
@@ -6,11 +6,12 @@
 import anyio
 import msgspec
 
-from foxstep.peers.learnt import HOLDERS, LANES, SERVERS, Hearsay, Teller, sound
+from foxstep.peers.learnt import LANES, PROXIES, SERVERS, Hearsay, Teller, sound
 from foxstep.peers.replica import FORMER, Fact, Replica
 from foxstep.tables.version import Version, epoch_after
 
 SECOND = 1_000_000
+UNTOLD = 0.01       # ops a second of a proxy that tells none: where none does, all count alike
 KEPT_EVERY = 10     # cycles of reports after which what was learnt is written to the store anew
 
 
@@ -53,14 +54,19 @@
     # -- proxies that come and go
 
     def joined(self, proxy, rate):
-        self.hearsay.came(self.host.clock(), proxy, rate)
+        self.hearsay.came(self.host.clock(), proxy, max(rate, UNTOLD))
 
     def left(self, proxy, rate):
-        total = sum(self.rates().values()) + rate
-        self.hearsay.went(self.host.clock(), proxy, self.host.controller.capacity, rate / max(total, 0.01))
+        rate = max(rate, UNTOLD)
+        rates = sum(self.rates().values()) + rate
+        self.hearsay.went(self.host.clock(), proxy, self.host.controller.capacity, rate, rates)
 
     def rates(self):
-        return {i: j.rate for i, j in self.host.joins.items() if j.rate is not None}
+        return {i: max(j.rate, UNTOLD) for i, j in self.host.joins.items() if j.rate is not None}
+
+    def zones(self):
+        """Proxy -> zone of those that are served here."""
+        return {i: j.zone for i, j in self.host.joins.items() if j.rate is not None}
 
     # -- telling and hearing
 
@@ -68,8 +74,9 @@
         """Tells what is known here, and takes in what has been heard since."""
         host, now = self.host, self.host.clock()
         holders = {p: str(h.held) for p in host.joins if (h := host.desk.ledger.holder(p)).held}
-        self.teller.tell(now, host.listed_lines, host.controller.standing(), host.controller.capacity,
-                         sum(self.rates().values()), holders)
+        self.teller.tell(now, host.listed_lines, host.controller.standing(), host.controller.weighed(now),
+                         host.controller.capacity, sum(self.rates().values()) + self.hearsay.rates_gone(),
+                         self.zones(), holders)
         self.rank()
         news = dict.fromkeys(key for _, lane, key in self.replica.changed if lane == SERVERS)
         news.update(dict.fromkeys(s for s in host.listed_lines if s not in self.listed))
@@ -90,7 +97,7 @@
         lost, and above the versions that their proxies hold."""
         ledger, highest = self.host.desk.ledger, self.replica.outranked
         if highest:
-            ledger.outrank(Version(highest, 0))
+            ledger.outrank(Version(highest + 1, 0))
             self.replica.begin_epoch(epoch_after(max(ledger.epoch, highest), self.me))
             self.replica.outranked = 0
             self.host.log.warning("outranked", by="its own former life", epoch=ledger.epoch)
@@ -105,7 +112,7 @@
 
     def facts_of(self, now, origin):
         """What is held of a controller's, for an operator."""
-        live = [len(self.replica.lane(origin, number).live()) for number in (SERVERS, HOLDERS)]
+        live = [len(self.replica.lane(origin, number).live()) for number in (SERVERS, PROXIES)]
         lag = self.replica.lag(now, origin)
-        return {"servers": live[0], "holders": live[1],
+        return {"servers": live[0], "proxies": live[1],
                 "confirmed_ms_ago": None if lag is None else lag // 1000}
--- a/foxstep/peers/learnt.py
+++ b/foxstep/peers/learnt.py
@@ -1,7 +1,7 @@
 """What a controller tells the others of what it has learnt, and how far their word is trusted. No I/O.
 
-Facts, by lane: of servers (usual weight, whether withdrawn, state and start as its list told it) and of C;
-in a lane of their own, which version each of its proxies holds.
+Facts, by lane: of servers (usual weight, whether withdrawn, state and start as its list told it) and of C; of
+proxies that it serves, the zone; and, of what changes most, which version each of them holds.
 
 Whoever knows by itself goes by that: a word of another's counts where this one has nothing of its own, ever
 less the older it is. The word of a drain or a start counts until this one's own list tells a change of that
@@ -12,8 +12,8 @@
 import re
 
 VERSION = re.compile(r"\d{1,18}\.\d{1,18}(@\d{1,18}\.\d{1,18})?")
-SERVERS, HOLDERS = 0, 1           # the lanes
-LANES = 2
+SERVERS, PROXIES, HOLDERS = 0, 1, 2   # the lanes
+LANES = 3
 CAPACITY = "C"
 TELL_OFF_BY = 0.1                 # a weight or C that moved by less is not told anew
 HALF_LIFE = 60                    # cycles of reports after which a word of weights counts half,
@@ -28,6 +28,8 @@
     """Whether a fact that came over the wire is one: what is not ends nobody."""
     if value is None:
         return True
+    if lane == PROXIES:
+        return isinstance(value, str) and len(value) <= 64
     if lane == HOLDERS:
         return isinstance(value, str) and VERSION.fullmatch(value) is not None
     if not isinstance(value, list):
@@ -55,15 +57,15 @@
     def __init__(self, replica):
         self.replica, self.keys = replica, [{} for _ in range(LANES)]
 
-    def tell(self, now, lines, standing, capacity, rates, holders):
-        """`lines`: server -> its line as its own list told it (interface.Listed), `standing` as the module
-        tells it, `capacity` C or None, `rates` ops a second that its proxies usually get together, `holders`:
-        joined proxy -> version."""
+    def tell(self, now, lines, standing, weighed, capacity, rates, zones, holders):
+        """`lines`: server -> its line as its own list told it (interface.Listed); `standing` and `weighed` as
+        the module tells them; `capacity` C or None; `rates` ops a second that its proxies usually get
+        together; `zones` and `holders`: joined proxy -> zone, version."""
         said = {}
         for server, line in lines.items():
-            weight, usual, warmth = standing.get(server, (0.0, None, 1.0))
-            known = self.value(SERVERS, server)
-            if usual is not None and known and known[0] is not None and not off(usual, known[0]):
+            weight, _, warmth = standing.get(server, (0.0, None, 1.0))
+            known, usual = self.value(SERVERS, server), weighed.get(server)
+            if known and known[0] is not None and (usual is None or not off(usual, known[0])):
                 usual = known[0]
             withdrawn = line[4] == "open" and warmth == 1.0 and not weight
             age = (now - line[6]) // 1000 if line[6] else None
@@ -76,8 +78,9 @@
         if capacity:
             known = self.value(SERVERS, CAPACITY)
             near = known and not off(capacity, known[0]) and not off(rates, known[1])
-            said[CAPACITY] = known if near else [round(capacity, 1), round(rates, 1)]
+            said[CAPACITY] = known if near else [round(capacity, 3), round(rates, 3)]
         self.put(now, SERVERS, said)
+        self.put(now, PROXIES, zones)
         self.put(now, HOLDERS, holders)
         self.replica.confirm(now)
 
@@ -102,7 +105,7 @@
         self.ramp = site["ramp"]
         self.shaded = {}               # server -> the line that stands in for its own list's
         self.bringing = {}             # proxy -> C that it came with, not granted yet
-        self.gone = {}                 # proxy -> (since, the C that it took along), while it may return
+        self.gone = {}                 # proxy -> (since, the C that it took along, its ops a second)
 
     def unknown_age(self):
         """What a word counts as whose age cannot be told: half."""
@@ -180,36 +183,50 @@
     # -- C
 
     def came(self, now, proxy, rate):
-        """A proxy joined. Where another controller served it until now, a part of that one's C comes with it:
-        its part of that one's ops. It is written down for this proxy alone, and once."""
+        """A proxy joined. Where another controller served it until now, or tells that it has just left it, a
+        part of that one's C comes along: its part of that one's ops. It is written down for this proxy
+        alone, and once."""
         self.gone.pop(proxy, None)
         self.bringing.pop(proxy, None)
-        served = [(origin, held) for origin, held in self.replica.told(HOLDERS) if held.confirmed is not None]
-        for origin, held in sorted(served, key=lambda one: -one[1].confirmed):
-            fact = held.facts.get(proxy)
-            if fact is None or fact.value is None:
-                continue
+        served = [(lane.facts[proxy].at, origin) for origin, lane in self.replica.told(PROXIES)
+                  if proxy in lane.facts]
+        for at, origin in sorted(served, reverse=True)[:1]:
+            left = self.replica.lane(origin, PROXIES).facts[proxy].value is None
             known = self.replica.lane(origin, SERVERS)
             told = known.facts.get(CAPACITY)
-            if told and told.value and told.value[1] > 0 and known.confirmed is not None and self.faith(
-                    now - known.confirmed, CAPACITY_LIFE):
+            age = None if known.confirmed is None else now - (min(at, known.confirmed) if left else
+                                                              known.confirmed)
+            if age is not None and told and told.value and told.value[1] > 0 and self.faith(
+                    age, CAPACITY_LIFE):
                 capacity, rates = told.value
                 self.bringing[proxy] = capacity * min(rate / rates, 1.0)
-            return
 
-    def went(self, now, proxy, capacity, part):
-        """A proxy's stream broke, with its part of this one's ops: it may return, or another may have it."""
+    def everyone(self, controllers):
+        """Proxy -> zone of all that these controllers tell to be theirs."""
+        found = {}
+        for origin, held in self.replica.told(PROXIES):
+            if origin in controllers:
+                found.update((proxy, fact.value) for proxy, fact in held.live().items())
+        return found
+
+    def went(self, now, proxy, capacity, rate, rates):
+        """A proxy's stream broke, with `rate` of the `rates` of all until then: it may return, or another may
+        have it."""
         self.bringing.pop(proxy, None)
         if capacity:
-            self.gone[proxy] = (now, capacity * part)
+            self.gone[proxy] = (now, capacity * rate / (rates + self.rates_gone()), rate)
             while len(self.gone) > GONE_MOST:
                 del self.gone[next(iter(self.gone))]
 
+    def rates_gone(self):
+        """Ops a second of those that have left and whose C is still counted here."""
+        return sum(rate for _, _, rate in self.gone.values())
+
     def taken(self, now):
         """C of proxies that others have since told to be theirs: what this one's C is to be cut by."""
         cut = 0.0
-        for proxy, (since, part) in list(self.gone.items()):
-            facts = [lane.facts.get(proxy) for _, lane in self.replica.told(HOLDERS)]
+        for proxy, (since, part, _) in list(self.gone.items()):
+            facts = [lane.facts.get(proxy) for _, lane in self.replica.told(PROXIES)]
             if any(fact is not None and fact.value is not None and fact.at >= since for fact in facts):
                 cut += part
             elif now - since <= CAPACITY_LIFE * self.cycle:
--- a/foxstep/peers/membership.py
+++ b/foxstep/peers/membership.py
@@ -31,6 +31,7 @@
     def __init__(self, ident, address):
         self.ident, self.address = ident, address
         self.state, self.incarnation, self.since = GONE, 0, 0    # gone until it was heard
+        self.up_since = 0                                        # when it was last no longer gone
         self.heard_at, self.accusers, self.told, self.load = None, {}, 1 << 30, 0
 
 
@@ -100,6 +101,8 @@
     def become(self, now, member, state, incarnation):
         if state != member.state:
             self.changes.append((now, member.ident, state))
+        if member.state == GONE and state != GONE:
+            member.up_since = now
         member.state, member.incarnation, member.since = state, incarnation, now
         member.accusers, member.told = {}, 0
 
--- a/foxstep/peers/replica.py
+++ b/foxstep/peers/replica.py
@@ -139,6 +139,11 @@
             changes, size = self.lacking(now, to, told, room)
             if changes:
                 self.budget -= size
+                # The rest follows as if this arrived; where it does not, what follows on it is not taken.
+                for origin, number, epoch, _, upto, _, _, _ in changes:
+                    lane = self.of[origin, number]
+                    told[origin, number] = (epoch, upto, lane.floor, lane.sum)
+                self.waiting.append((to, told))
                 return to, changes
         return None
 
--- a/foxstep/peers/sharing.py
+++ b/foxstep/peers/sharing.py
@@ -4,7 +4,7 @@
 
 from foxstep.peers.bounds import heal_bound
 from foxstep.peers.learnt import sound
-from foxstep.peers.membership import ALIVE, Membership
+from foxstep.peers.membership import GONE, Membership
 from foxstep.peers.notes import Notes
 from foxstep.peers.place import Homing
 
@@ -32,14 +32,14 @@
     async def send_home(self):
         while True:
             now, members = self.host.clock(), self.membership.members
-            alive = {i: m.since for i, m in members.items() if m.state == ALIVE}
-            loads = {i: members[i].load for i in alive}
-            told = self.homing.next_return(now, self.host.at_home_elsewhere(), loads, alive)
+            others = {i: (m.up_since, m.heard_at or 0) for i, m in members.items() if m.state != GONE}
+            everyone = {**self.learning.hearsay.everyone(others), **self.learning.zones()}
+            told = self.homing.next_return(now, self.host.at_home_elsewhere(), everyone, others)
             if told:
                 proxy, home = told
-                members[home].load += 1   # until it tells by itself
                 self.host.send_home(proxy, self.peers[home][1])
-            await anyio.sleep(max((self.homing.next_at - now) / SECOND, self.membership.period / SECOND / 4))
+            wait = min(max(self.homing.next_at - now, 1_000), self.membership.period // 4)
+            await anyio.sleep(wait / SECOND)
 
     async def talk(self):
         await self.notes.ask_facts()
@@ -59,6 +59,8 @@
             "notes": {"sent": self.notes.sent, "heard": self.notes.heard, "bytes": self.notes.bytes,
                       "facts_bytes": self.notes.facts_bytes, "odd": self.notes.odd},
             "peers": self.membership.view(now),
+            "away": {p: h for p, h in self.homing.homes.items()
+                     if p in self.host.joins and h != self.membership.me},
             "facts": {str(i): self.learning.facts_of(now, i) for i in self.peers},
             "heals_within_ms": heal_bound(self.membership.period, len(self.peers), self.homing.spacing,
                                           len(self.host.joins)) // 1000}
--- a/foxstep/proxy/control.py
+++ b/foxstep/proxy/control.py
@@ -137,8 +137,17 @@
                 group.start_soon(self.report, channel)
                 group.start_soon(self.tell_usage, channel)
         except* BROKEN as broken:
+            self.heed_home(broken.exceptions)
             self.log.info("stream broke", controller=address, why=str(broken.exceptions[0])[:120])
 
+    def heed_home(self, ends):
+        """A stream's end may say where this proxy is at home; that is dialled next if it is one it knows."""
+        for end in ends:
+            if isinstance(end, grpc.aio.AioRpcError):
+                for name, value in end.trailing_metadata() or ():
+                    if name == HOME and value in self.controllers:
+                        self.next_home = value
+
     # -- tables
 
     async def follow(self, channel):
@@ -168,9 +177,6 @@
             await call.write(answer)
             if over:  # whoever sent it learns what is held when this proxy joins anew
                 raise EOFError("the controller's epoch is over")
-        for name, value in await call.trailing_metadata() or ():
-            if name == HOME and value in self.controllers:
-                self.next_home = value
         raise EOFError("the controller ended the stream")
 
     def take(self, response):
