Read again: advice is looked at only where somebody is advised; dead state out

The change handed the module's word of the servers to the advice at every batch, also where no balancer is registered: the guard that stood before is back. Out went a slot, four constants and a parameter that nothing used.

--- a/foxstep/intake/intake.py
+++ b/foxstep/intake/intake.py
@@ -24,13 +24,12 @@
 class Talker:
     """What is known of one proxy that reports."""
 
-    __slots__ = ("zone", "rates", "held", "since", "lines")
+    __slots__ = ("zone", "rates", "held", "since")
 
     def __init__(self, zone, now):
         self.zone, self.since = zone, now
         self.rates = [0.0, 0.0]      # tries and ops a microsecond, by its newest word
         self.held = {}               # server -> when it was last in its tables
-        self.lines = 0               # of its last report
 
 
 class Intake:
--- a/foxstep/intake/sums.py
+++ b/foxstep/intake/sums.py
@@ -18,7 +18,6 @@
 STALE = 4.0         # and after which it no longer does
 SHORTEST = 0.25     # of a cycle: a report that tells of less time counts as of so much
 RING = 32           # rounds ahead that a report can be spread over, at most
-TRIES, ABORTED, TIMED, TOTAL = range(4)
 
 
 class Account:
--- a/foxstep/live/host.py
+++ b/foxstep/live/host.py
@@ -305,7 +305,8 @@
         ordered = self.book.close_batch()
         waiting = self.channel.lines_waiting(now) + sum(message.cost for message in ordered)
         messages = self.desk.shape(now, ordered, self.book, zones, allowed,
-                                   "; ".join(self.because), standing, waiting)
+                                   "; ".join(self.because),
+                                   standing if self.desk.advice.rolls else None, waiting)
         for message in messages:
             self.channel.offer(now, message)
         if messages:
--- a/foxstep/peers/learnt.py
+++ b/foxstep/peers/learnt.py
@@ -119,10 +119,10 @@
             return 0.5
         return 0.0 if age > life * self.cycle else 0.5 ** (age / (HALF_LIFE * self.cycle))
 
-    def words(self, now, lane=SERVERS):
+    def words(self, now):
         """Key -> [(faith, value, when it was so, controller)], the most trusted first."""
         found = {}
-        for origin, held in self.replica.told(lane):
+        for origin, held in self.replica.told(SERVERS):
             faith = self.faith(None if held.confirmed is None else now - held.confirmed)
             if faith:
                 for key, fact in held.live().items():
