The node: the platform's protocol as a front on a host cut to what a controller needs

The operators put the program itself in service; it had no way to speak their protocol, and its host drew in gRPC, protobuf and the store.

The host is cut in two: live/host.py carries orders out and needs no more than anyio and structlog, live/serving.py adds versions, store, intake and repairs as before. node/ is a front on the former: told, messages, streams, listing, probes, notes, program; names and load reports share simhost/names.py.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -122,7 +122,9 @@
         return self.bucket_time(now)
 
     def probed(self, now, ident, outcome, took, load):
-        server = self.servers[ident]
+        server = self.servers.get(ident)
+        if server is None:
+            return
         server.probe_out, good = 0, outcome in ("acked", "rejected")
         server.probes_good = server.probes_good + 1 if good else 0
         server.probes_bad = 0 if good else server.probes_bad + 1
--- a/foxstep/commands/serve.py
+++ b/foxstep/commands/serve.py
@@ -11,7 +11,7 @@
 
 from foxstep.balance import Controller
 from foxstep.capture.tape import Tape, Taped
-from foxstep.live.host import Host
+from foxstep.live.serving import ServingHost
 from foxstep.operate.service import OperatorService
 from foxstep.peers.learning import Learning
 from foxstep.peers.sharing import Sharing
@@ -62,7 +62,7 @@
     plain = {**site.plain(), "me": me, "zone": shared.get("zone") or site.zone}
     tapes = []
     make = taping(make, capture, tapes) if capture else make
-    host = Host(plain, seed, clock, wall, state, off, make, site.reports.cpu_part)
+    host = ServingHost(plain, seed, clock, wall, state, off, make, site.reports.cpu_part)
     op_types = [{"name": o.name, "method": o.method,
                  "try_wait": round(site.proxies.try_aims * o.target_latency)} for o in site.op_types]
     front = Front(host, site.name, op_types)
--- /dev/null
+++ b/foxstep/node/probes.py
@@ -0,0 +1,61 @@
+"""Probes of servers: each ends in one outcome under our names, in bounded time and number."""
+
+import anyio
+import structlog
+
+from foxstep.node.call import Broken, dial
+from foxstep.node.told import ADDRESS, Unsound, address
+from foxstep.simhost.names import load_of
+
+SECOND = 1_000_000
+WITHIN = 0.5          # seconds until a probe counts as silent
+AT_ONCE = 16          # probes under way; the next ones wait
+
+
+class Prober:
+    def __init__(self, host, listing):
+        self.host, self.listing, self.log = host, listing, structlog.get_logger("foxstep.probes")
+        self.group, self.limit = None, anyio.Semaphore(AT_ONCE)
+        self.path = "/load" if host.site.get("reports") else "/healthz"
+        self.waiting = {}                # servers with a probe under way, as a set in order
+        host.probe = self.probe
+
+    def probe(self, server):
+        if server not in self.waiting:
+            self.waiting[server] = None
+            self.group.start_soon(self.ask, server)
+
+    async def ask(self, server):
+        outcome, load = "silent", None
+        async with self.limit:
+            started = self.host.clock()
+            with anyio.move_on_after(WITHIN):
+                outcome, load = await self.outcome(server)
+        self.waiting.pop(server, None)
+        self.host.probed(server, outcome, self.host.clock() - started, load)
+
+    async def outcome(self, server):
+        caller = None
+        try:
+            at = self.listing.addresses.get(server)
+            if at is None or not ADDRESS.fullmatch(at):
+                return "unreachable", None
+            try:
+                caller = await dial(address(at, "a server"))
+            except (OSError, Unsound):
+                return "unreachable", None
+            status, body = await caller.get(self.path, at)
+            if status == 503:
+                return "rejected", None
+            if status != 200:
+                return "aborted", None
+            return "acked", load_of(body.decode("utf-8", "replace"))
+        except Broken:
+            return "broken", None
+        finally:
+            if caller:
+                caller.close()
+
+    async def run(self):
+        async with anyio.create_task_group() as self.group:
+            await anyio.sleep_forever()
--- a/foxstep/simhost/names.py
+++ b/foxstep/simhost/names.py
@@ -90,6 +90,30 @@
 }
 
 
+# What servers write of themselves where they are asked -> our names.
+PROBED = {"util": "busy", "queue": "waiting", "inflight": "holding", "latency_ms": "service",
+          "qps": "acked_rate", "eps": "aborted_rate"}
+
+
+def report_of(pairs, known):
+    """A load report by our names, from (name, value) pairs; what we have no name for, or is no number of
+    this world, is left out. None where nothing is left."""
+    load = {}
+    for name, value in pairs:
+        try:
+            number = float(value)
+        except (TypeError, ValueError):
+            continue
+        if name in known and 0 <= number < 1e9:
+            load[known[name]] = number * (1000 if known[name] == "service" else 1)
+    return load or None
+
+
+def load_of(text):
+    """The same from a server's own text, as in "inflight=7,util=0.61"."""
+    return report_of((pair.split("=", 1) for pair in text.strip().split(",") if "=" in pair), PROBED)
+
+
 def site_of(pairs):
     """The map that the module gets, from the wire's pairs; pairs that we have no name for are skipped."""
     site = {"op_types": [{} for _ in range(int(pairs.get("services.count", 0)))]}
--- a/tests/live.py
+++ b/tests/live.py
@@ -12,7 +12,7 @@
 from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
 
 from foxstep.balance import Controller
-from foxstep.live.host import Host
+from foxstep.live.serving import ServingHost
 from foxstep.operate.service import OperatorService
 from foxstep.site import read_site
 from foxstep.site.load import EXAMPLES
@@ -50,7 +50,7 @@
 async def controller(port=0, directory=None, make=Controller, reading=0.4, **changes):
     """(host, address) of a running controller; `changes` go over the example site's settings."""
     site = read_site(SITE)
-    host = Host({**site.plain(), "list_asked": False, "probes": False, **changes}, 1, clock,
+    host = ServingHost({**site.plain(), "list_asked": False, "probes": False, **changes}, 1, clock,
                 lambda: time.time_ns() // 1000, directory, make=make, reading=reading)
     front = Front(host, site.name, [{"name": o.name, "method": ""} for o in site.op_types])
     server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
