Thin proxies: quotas stretched by chance's law, waits by the middle half, C follows joiners

After a restart C was found from the 7 proxies that were back (C 2) and stayed so for 75.

Latency is that of the middle half of servers together, calm the least of a steady one that starts at its prior; trouble needs 32 answers; C is brought up to what joined proxies usually get; a proxy's part leans on its usual one where its ops are few; quotas are stretched by a bucket's law. Servers long gone are forgotten.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -24,6 +24,7 @@
 PERIOD = SECOND                # about 1 s, in whole cycles of reports
 HEADROOM = 0.05                # * part of C kept free
 RHO = 0.2                      # * what a cap leaves above heard demand
+STEADY = 0.25                  # part of a period's latency in the steady one, whose least is the calm one
 KNEE, SHOWN = 1.3, 0.9         # C over the acked rate at longer waits; over what cores show in full rooms
 TROUBLE_PERIODS = 3
 ERRORS_UP, LATENCY_UP = 2.0, 1.5
@@ -47,6 +48,7 @@
 CROSSING = 1.25                # a server of another zone counts as so much more crowded
 NARROWER, LEAST_BREADTH = 0.7, 0.2  # a proxy's lines, a period, while tries fail and cores idle
 CROWDED = 1.5                  # a line goes to a server this much less crowded
+THIN = 2                       # ops that a proxy is thought to have had beside those that came
 MANY = 16                      # ops or tries from which on a short stretch says enough
 COLD_CAUTION = 0.8             # a cold server gets this part of what it surely can do,
 COLD_ENTRY = 0.25              # nothing below this part of its usual work,
@@ -70,10 +72,12 @@
         self.shift = None                        # puts the reports' arrival into the middle of a bucket
         self.ask_again, self.list_fails = now, 0
         self.capacity = None                     # C, in ops a second of this controller's own proxies
+        self.rates = 0.0                         # what those usually get, as C was last brought up to it
         self.trouble = 0                         # periods of it in a row; below 0: of waiting after a cut
-        self.calm_latency = self.target / 3
+        self.calm_latency = self.lately = self.target / 3
         self.binding = False
         self.caps = [None] * len(self.op_types)  # ops a second let in; None: all
+        self.quotas = self.caps                  # what proxies' quotas sum up to, for that to be let in
         self.waiting, self.waiting_at = 0.0, now  # lines thought to wait in the channel
         self.pace, self.marked = PACE, 0.0       # part of its stated speed, lines waiting at the last mark
 
@@ -97,11 +101,12 @@
             if state == "open" and (server.state != "open" or started > server.started):
                 self.begin(server, now, started)
             server.zone, server.kind, server.cell = zone, kind, cell
+            server.gone_at = (server.gone_at or now) if state == "gone" else None
             server.state, server.size = state, max(weight, 0.01)
         if how != "changes":
             for ident, server in self.servers.items():
                 if ident not in named:
-                    server.state = "gone"
+                    server.state, server.gone_at = "gone", server.gone_at or now
         self.pressing = True
 
     def begin(self, server, now, started):
@@ -161,7 +166,7 @@
 
     def inherited(self, now, part):
         """C of proxies that another controller served until now; below 0: of those that it now serves."""
-        self.capacity = max((self.capacity or 0.0) + part, 0.0) or None
+        self.capacity, self.rates = max((self.capacity or 0.0) + part, 0.0) or None, 0.0
 
     def joined(self, now, ident, zone, rate, fresh):
         proxy = self.proxies.get(ident)
@@ -221,6 +226,7 @@
                 self.step_weights()
                 yield from self.set_caps()
             yield from self.probe()
+            yield from self.let_go()
         if (tick or self.pressing) and not self.site.get("slices"):  # slices are in no deployment yet
             self.pressing = False
             self.want, self.crew = self.shared_table(), self.joined_proxies()
@@ -233,6 +239,11 @@
         `seconds` is the stretch that recent usage tells of, by the reports' windows. Guards against reports
         late, thin or doubled in a later line, and the part stretch after a restart or a mass return."""
         self.recent, ring_time = self.bucket_time(self.now), 8 * self.cycle
+        # C is of the joined proxies: it grows and shrinks with what they usually get.
+        rates = sum(p.rate for p in self.joined_proxies())
+        if self.capacity and self.rates:
+            self.capacity = self.capacity * rates / self.rates or None
+        self.rates = rates
         told, covered, recent = 0.0, 0.0, [0.0] * len(self.op_types)
         for server in self.open_servers():
             server.tried = server.tries.sums(self.recent, self.span)
@@ -256,7 +267,13 @@
         trusted = [s for s in self.open_servers() if s.trust > 0]
         known = [s.tried for s in trusted if s.tried[0] >= BAD_TRIES]
         self.errors = median_high([aborted / tries for tries, aborted, _, _ in known] or [0.0])
-        self.latency = median_high([latency / acked for _, _, acked, latency in known if acked] or [0.0])
+        # The middle half of the servers, by all their tries together: of a handful each, a single one's mean,
+        # and so the median of those that have enough, says next to nothing.
+        waits = sorted((s.tried[3] / s.tried[2], *s.tried[2:]) for s in trusted if s.tried[2])
+        middle = waits[len(waits) // 4:len(waits) - len(waits) // 4]
+        self.latency = sum(total for *_, total in middle) / max(sum(acked for _, acked, _ in middle), 1)
+        if self.latency:  # from the first calm one on: at a start only what was quick has been answered
+            self.lately += (self.latency - self.lately) * STEADY
         tries, aborted, acked = (sum(s.tried[k] for s in self.open_servers()) for k in range(3))
         self.tried, self.acked = tries / self.seconds, acked / self.seconds
         self.failing = aborted / max(tries, 1)
@@ -282,6 +299,18 @@
             return 1.0
         return (cold + (1 - cold) * max(age, 0) / ramp) * COLD_CAUTION
 
+    def let_go(self):
+        """Guards against a list of ever new names: a server long gone that no joined proxy holds goes,
+        also in tables of those that left. Harm: one that is back after all is learnt anew."""
+        before = self.now - self.site.get("ramp", 0) - 8 * self.cycle
+        for ident, server in list(self.servers.items()):
+            held = any(p.joined for p in server.holders)
+            if server.state == "gone" and server.gone_at < before and not held:
+                for proxy in server.holders:
+                    del proxy.lines[server]
+                    yield ("weigh", proxy.ident, ident, 0)
+                del self.servers[ident]
+
     # Health
 
     def probe(self):
@@ -369,17 +398,18 @@
     def set_caps(self):
         """C from trouble and calm, then the caps by water filling while use is near C."""
         if self.latency and self.errors <= CALM_ERRORS:
-            self.calm_latency = min(self.calm_latency, self.latency)
+            self.calm_latency = min(self.calm_latency, self.lately)
         full, slow = self.latency > FULL * self.target, self.latency > LATENCY_UP * self.calm_latency
         shown = self.acked / max(fmean(self.busy), 0.2) if self.busy else None  # what reports say of capacity
         # Trouble while cores idle (or, unreported, use is far from C) has another cause than the pool.
         near = median_high(self.busy) > BUSY if self.busy else self.tried > ACT_AT * (self.capacity or 0)
         failing = self.errors > ERRORS_UP * CALM_ERRORS
+        enough = self.acked * self.seconds >= 2 * MANY  # the first few answers of a start say nothing of C
         # Guards against connections refused or dear: where tries fail and cores idle, fewer lines need fewer.
         # Harm: where they fail for another cause, a proxy's ops fall on fewer servers.
         step = NARROWER if failing and self.busy and not near else GROWTH
         self.breadth = min(max(self.breadth * step, LEAST_BREADTH), 1.0)
-        if (slow or failing) and near:
+        if (slow or failing) and near and enough:
             self.trouble += 1 if self.trouble < 0 or not full else TROUBLE_PERIODS
             if self.trouble >= TROUBLE_PERIODS:
                 # Longer waits show the knee, at about 1 / KNEE of capacity; full rooms show capacity itself.
@@ -401,8 +431,11 @@
         self.capacity = self.capacity and max(self.capacity, self.acked)  # what is done can be done
         self.binding = bool(self.capacity) and sum(self.demand) > ACT_AT * self.capacity
         self.caps = self.fill(self.demand) if self.binding else [None] * len(self.demand)
+        self.quotas = [cap and cap * self.stretch(cap, heard, len(self.joined_proxies()))
+                       for cap, heard in zip(self.caps, self.demand, strict=True)]
         yield ("note", f"C {self.capacity or 0:.0f} heard {[round(h) for h in self.demand]} "
-               f"acked {self.acked:.0f} lat {self.latency / 1000:.0f} calm {self.calm_latency / 1000:.0f} "
+               f"tried {self.tried:.0f} acked {self.acked:.0f} "
+               f"lat {self.latency / 1000:.0f} calm {self.calm_latency / 1000:.0f} "
                f"err {self.errors:.2f} caps {[cap and round(cap) for cap in self.caps]}")
 
     def fill(self, heard):
@@ -420,6 +453,20 @@
             left = [k for k in left if k not in sated]
         return [max(level * weights[k], least) if k in left else None for k in range(len(heard))]
 
+    def stretch(self, cap, heard, proxies):
+        """Quotas against what they let in. A quota is taken as a bucket that holds what it renews in a cycle,
+        and one op at least, to which ops come by chance: what finds it empty is turned away, also where the
+        quota is all that comes, so that a proxy with an op now and then would turn half of them away. Harm:
+        proxies that save more let in more than the cap."""
+        let_in, ops = min(cap / max(heard, 0.1), 0.95), heard / max(proxies, 1)
+        low, high = 0.0, 64.0                    # what comes against what the quota renews
+        for _ in range(16):
+            load = (low + high) / 2
+            holds = min(max(1.0, ops / load * self.cycle / SECOND), 100.0)
+            part = (1 - load**holds) / (1 - load ** (holds + 1)) if load != 1 else holds / (holds + 1)
+            low, high = (load, high) if part > let_in else (low, load)
+        return 1 / (let_in * high)
+
     # Tables and the channel
 
     def shared_table(self):
@@ -543,16 +590,25 @@
             self.marked = self.waiting
             yield ("mark", next(self.counter) % 65536, False)
 
+    def part(self, own, usual, total):
+        """A proxy's part of an op type's ops, by those of the last while, as so many more would be that came
+        as they usually do. Guards against quotas that follow chance where ops are few a proxy: the next comes
+        where none was. Harm: a proxy that turns hot is let in less for as long as its ops are that few."""
+        seen = own * 8 * self.cycle / SECOND
+        expected = max(usual * total, 0.01)
+        return (THIN + seen) / (THIN / expected + 8 * self.cycle / SECOND) / max(total, 0.01)
+
     def level_changes(self, proxy):
         """Quota and further tries that differ enough from those ordered, equal ones in one line."""
         if not self.binding and all(level is None for level in proxy.levels):
             return []
         kind, tries = self.site.get("level", "none"), 0 if self.binding else self.site.get("usual_tries", 0)
-        even, grouped = 0.5 / self.span, {}
-        for place, (own, total, cap) in enumerate(zip(proxy.ops, self.demand, self.caps, strict=True)):
+        usual, grouped = proxy.rate / max(self.rates, 0.1), {}
+        told = zip(proxy.ops, self.demand, self.caps, self.quotas, strict=True)
+        for place, (own, total, cap, quotas) in enumerate(told):
             quota = OPEN if kind == "rate" else 1.0
             if cap is not None and kind == "rate":
-                quota = cap * (own + even) / (total + even * len(self.crew))
+                quota = quotas * self.part(own, usual, total)
             elif cap is not None and kind == "share":
                 quota = min(1.0, cap / max(total, 0.1))
             ordered = proxy.levels[place]
--- a/foxstep/fleet.py
+++ b/foxstep/fleet.py
@@ -53,6 +53,7 @@
         self.zone = self.kind = ""
         self.cell = 0
         self.state = "gone"            # "open", "draining" or "gone", as listed
+        self.gone_at = None            # since when it is gone
         self.size = 1.0                # as listed: a number to compare with the others'
         self.started = 0               # when it last started; 0: long ago
         self.weight = None             # its part in the shared table, learnt; None: not yet placed
--- a/foxstep/node/messages.py
+++ b/foxstep/node/messages.py
@@ -83,9 +83,14 @@
     try:
         return DECODER.decode(line)
     except msgspec.ValidationError as error:
-        raise Spoilt(str(error)) from None
+        found = error
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise Unreadable(str(error)) from None
+    try:
+        msgspec.json.decode(line)  # the first field that is wrong ends the reading: is the rest JSON at all?
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise Unreadable(str(error)) from None
+    raise Spoilt(str(found))
 
 
 def parts_of(holding, message, names):
