Load reports are read in the settings' words: weights are learnt on sockets

Seen: the spread over servers stayed at 1.2 on sockets and grew to 2.2 in the simulator, so weights were not learnt. Checked: probes were answered (312 of 312 acked, 5 to 40 ms), each with load None; the bodies say cpu=1.021,waiting=15.762, the settings' words, while load_of (names.PROBED) knew only those of the protocol's page (util, queue). Ruled out: late or lost probes, the path. Both are read now.

--- a/foxstep/simhost/names.py
+++ b/foxstep/simhost/names.py
@@ -90,8 +90,8 @@
 }
 
 
-# What servers write of themselves where they are asked -> our names.
-PROBED = {"util": "busy", "queue": "waiting", "inflight": "holding", "latency_ms": "service",
+# What servers write of themselves, in the words of the settings or of the protocol's page -> our names.
+PROBED = {**LOADS, "util": "busy", "queue": "waiting", "inflight": "holding", "latency_ms": "service",
           "qps": "acked_rate", "eps": "aborted_rate"}
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -258,3 +258,24 @@
     code = f"import foxstep.node.program, sys; print([m for m in {heavy} if m in sys.modules])"
     found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert found.stdout.strip() == "[]", found
+
+
+@pytest.mark.parametrize("body", ["util=0.61,queue=2", "cpu=0.61,waiting=2.000,active=7,strange=x"])
+async def test_a_probe_tells_the_load_in_either_words(tmp_path, body):
+    async def serve(reader, writer):
+        assert (await reader.readline()).startswith(b"GET /load ")
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+
+    port, discovery = free_port(), Discovery(A, B)
+    discovery.entries[A]["address"] = f"127.0.0.1:{port}"
+    async with await asyncio.start_server(serve, "127.0.0.1", port), \
+            node(tmp_path, discovery, known=[A]) as running:
+        told, host = [], running.host
+        host.probed = lambda *args: told.append(args)
+        await until(lambda: B in running.node.listing.addresses)
+        for server in (A, B, "s-none"):
+            host.probe(server)
+        await until(lambda: len(told) == 3)
+        found = {server: (outcome, load) for server, outcome, _, load in told}
+        assert found[A][0] == "acked" and {"busy": 0.61, "waiting": 2.0}.items() <= found[A][1].items()
+        assert found[B] == found["s-none"] == ("unreachable", None)
