--- a/foxstep/node/program.py
+++ b/foxstep/node/program.py
@@ -90,11 +90,11 @@
         """SIGHUP: what is sound takes effect at once, what is not leaves all as it was."""
         try:
             told, site = telling.read(self.path)
-            if site != self.host.site:
-                raise telling.Unsound("settings change with a restart only")
         except telling.Unsound as unsound:
             self.log.warning("not taken", why=str(unsound))
             return
+        if site != self.host.site or told.listen != self.told.listen:
+            self.log.warning("settings and the own address change with the next start only")
         self.told = told
         self.door.limit(*self.room())
         self.notes.move(*self.peers())
