Read again: one pair of clocks, flatter accepting, dead state and a double check out of the node

Door.run was four deep and held a task group without a task, Door.stirred and Prober.log were never read; a probe checked its address twice; the datagram's family follows from its address. A server's being gone was read from two fields in let_go; joined proxies were listed three times a period and once an op type. measure/intake and measure/fleet ended their controllers by the same lines: fleet.end serves both. The node's tests take ports from standins/ports and until from live. Left: two commands in line.py that share a shape.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -240,7 +240,8 @@
         late, thin or doubled in a later line, and the part stretch after a restart or a mass return."""
         self.recent, ring_time = self.bucket_time(self.now), 8 * self.cycle
         # C is of the joined proxies: it grows and shrinks with what they usually get.
-        rates = sum(p.rate for p in self.joined_proxies())
+        joined = self.joined_proxies()
+        rates = sum(p.rate for p in joined)
         if self.capacity and self.rates:
             self.capacity = self.capacity * rates / self.rates or None
         self.rates = rates
@@ -249,7 +250,7 @@
             server.tried = server.tries.sums(self.recent, self.span)
             server.loaded = server.loads.sums(self.recent, self.span)
             server.cover = 0.0
-        for proxy in self.joined_proxies():
+        for proxy in joined:
             ever = max(min(self.now - proxy.since, ring_time), self.cycle)
             for place, ring in enumerate(proxy.usage):
                 ops, _, window = ring.sums(self.recent, self.span)
@@ -304,8 +305,8 @@
         also in tables of those that left. Harm: one that is back after all is learnt anew."""
         before = self.now - self.site.get("ramp", 0) - 8 * self.cycle
         for ident, server in list(self.servers.items()):
-            held = any(p.joined for p in server.holders)
-            if server.state == "gone" and server.gone_at < before and not held:
+            long_gone = server.gone_at is not None and server.gone_at < before
+            if long_gone and not any(p.joined for p in server.holders):
                 for proxy in server.holders:
                     del proxy.lines[server]
                     yield ("weigh", proxy.ident, ident, 0)
@@ -431,7 +432,8 @@
         self.capacity = self.capacity and max(self.capacity, self.acked)  # what is done can be done
         self.binding = bool(self.capacity) and sum(self.demand) > ACT_AT * self.capacity
         self.caps = self.fill(self.demand) if self.binding else [None] * len(self.demand)
-        self.quotas = [cap and cap * self.stretch(cap, heard, len(self.joined_proxies()))
+        proxies = len(self.joined_proxies())
+        self.quotas = [cap and cap * self.stretch(cap, heard, proxies)
                        for cap, heard in zip(self.caps, self.demand, strict=True)]
         yield ("note", f"C {self.capacity or 0:.0f} heard {[round(h) for h in self.demand]} "
                f"tried {self.tried:.0f} acked {self.acked:.0f} "
--- a/foxstep/commands/serve.py
+++ b/foxstep/commands/serve.py
@@ -1,7 +1,6 @@
 """`foxstep serve`: one controller, until SIGTERM or ctrl-C."""
 
 import signal
-import time
 
 import anyio
 import anyio.abc
@@ -11,6 +10,7 @@
 
 from foxstep.balance import Controller
 from foxstep.capture.tape import Tape, Taped
+from foxstep.live.clocks import clock, wall
 from foxstep.live.serving import ServingHost
 from foxstep.operate.service import OperatorService
 from foxstep.peers.learning import Learning
@@ -29,14 +29,6 @@
            ("grpc.http2.min_recv_ping_interval_without_data_ms", 50), ("grpc.http2.max_ping_strikes", 0)]
 
 
-def clock():
-    return time.monotonic_ns() // 1000
-
-
-def wall():
-    return time.time_ns() // 1000
-
-
 async def wait_for_signal(scope):
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
--- a/foxstep/measure/fleet.py
+++ b/foxstep/measure/fleet.py
@@ -144,15 +144,20 @@
                     await reports(figures, address, clients, names, seconds)
                 group.cancel_scope.cancel()
         finally:
-            with anyio.CancelScope(shield=True):
-                controller.terminate()
-                await anyio.to_thread.run_sync(controller.wait)
-                for channel in channels:
-                    await channel.close()
-                await lists.server.stop(None)
+            await end(controller, channels, lists)
     return figures
 
 
+async def end(controller, channels, lists):
+    """Ends a controller's process, its clients' channels and its list service, also when all is cancelled."""
+    with anyio.CancelScope(shield=True):
+        controller.terminate()
+        await anyio.to_thread.run_sync(controller.wait)
+        for channel in channels:
+            await channel.close()
+        await lists.server.stop(None)
+
+
 async def orders(figures, address, controller, lists, idents, zones, clients, seconds):
     """One server after another drains and comes back, twice a second."""
     before, _ = used(controller.pid)
--- a/foxstep/measure/intake.py
+++ b/foxstep/measure/intake.py
@@ -21,7 +21,7 @@
 from foxstep.intake.intake import Intake
 from foxstep.intake.latencies import Latencies
 from foxstep.measure.first_intake import FirstIntake
-from foxstep.measure.fleet import SITE, Client, used
+from foxstep.measure.fleet import SITE, Client, end, used
 from foxstep.operate.service import INSPECT, ask
 from foxstep.site import read_site
 from foxstep.standins.lists import ListService
@@ -272,11 +272,7 @@
             for crowd in crowds:
                 crowd.kill()
                 await crowd.wait()
-            controller.terminate()
-            await anyio.to_thread.run_sync(controller.wait)
-            for channel in channels:
-                await channel.close()
-            await lists.server.stop(None)
+        await end(controller, channels, lists)
     return out
 
 
--- a/foxstep/measure/peers.py
+++ b/foxstep/measure/peers.py
@@ -7,6 +7,7 @@
 import anyio
 import click
 
+from foxstep.live.clocks import clock
 from foxstep.peers.membership import ALIVE, GONE, SUSPECTED, Membership
 from foxstep.peers.notes import Notes
 from foxstep.peers.place import preferred
@@ -17,10 +18,6 @@
 PERIOD = 250_000   # what a grace of two seconds makes it
 
 
-def clock():
-    return time.monotonic_ns() // 1000
-
-
 class Crowd:
     """Controllers of one site on real datagrams, in this process; `lose`: the part of notes lost."""
 
--- a/foxstep/node/probes.py
+++ b/foxstep/node/probes.py
@@ -1,10 +1,9 @@
 """Probes of servers: each ends in one outcome under our names, in bounded time and number."""
 
 import anyio
-import structlog
 
 from foxstep.node.call import Broken, dial
-from foxstep.node.told import ADDRESS, Unsound, address
+from foxstep.node.told import Unsound, address
 from foxstep.simhost.names import load_of
 
 SECOND = 1_000_000
@@ -14,7 +13,7 @@
 
 class Prober:
     def __init__(self, host, listing):
-        self.host, self.listing, self.log = host, listing, structlog.get_logger("foxstep.probes")
+        self.host, self.listing = host, listing
         self.group, self.limit = None, anyio.Semaphore(AT_ONCE)
         self.path = "/load" if host.site.get("reports") else "/healthz"
         self.waiting = {}                # servers with a probe under way, as a set in order
@@ -38,7 +37,7 @@
         caller = None
         try:
             at = self.listing.addresses.get(server)
-            if at is None or not ADDRESS.fullmatch(at):
+            if at is None:
                 return "unreachable", None
             try:
                 caller = await dial(address(at, "a server"))
--- a/foxstep/node/program.py
+++ b/foxstep/node/program.py
@@ -3,16 +3,17 @@
 What it is told stands in the environment and in the file that ROUTER_CONFIG names; SIGHUP has it read again.
 """
 
+import asyncio
 import gc
 import os
 import signal
-import socket
 import sys
 import time
 
 import anyio
 import structlog
 
+from foxstep.live.clocks import clock, wall
 from foxstep.live.host import Host
 from foxstep.node import told as telling
 from foxstep.node.listing import Listing
@@ -25,14 +26,6 @@
 LOGGED = 20                   # lines of one event in the log, a second
 
 
-def clock():
-    return time.monotonic_ns() // 1000
-
-
-def wall():
-    return time.time_ns() // 1000
-
-
 class Rate:
     """Guards against a log that grows with what others send: so many lines of one event a second, and then
     how many were left out. Harm: what was in those."""
@@ -126,10 +119,8 @@
                               limits=str(self.told.limits))
 
     async def hear_notes(self):
-        import asyncio
         at = telling.address(self.told.peer_listen, "peer_listen")
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self.notes, local_addr=at, family=socket.AF_INET6 if ":" in at[0] else socket.AF_INET)
+        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self.notes, local_addr=at)
 
 
 def main():
--- a/foxstep/node/streams.py
+++ b/foxstep/node/streams.py
@@ -19,6 +19,7 @@
 STRANGER_MOST = 16_384     # bytes that a stranger may say before that
 ACCEPT_AT_ONCE = 24        # connections taken before those that stand get their turn to speak
 REST = 0.05                # seconds without accepting where descriptors lack
+LACK = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 HIGH = 65_536              # bytes that wait for one reader; beyond, what comes is folded together
 MARKS = 64                 # marks of one stream that may be unanswered; older ones are forgotten
 READ_AT_ONCE = 65_536
@@ -227,7 +228,6 @@
         self.connections, self.strangers = {}, {}   # sets in order of coming
         self.half_read = 0
         self.limit(sockets, memory)
-        self.stirred, self.group = anyio.Event(), None
 
     def limit(self, sockets, memory):
         self.most, self.half_read_most = sockets, max(2 * messages.LONGEST, int(memory * PART))
@@ -248,27 +248,23 @@
     async def run(self, listener):
         """Takes connections from a listening socket, a few at a time."""
         loop = asyncio.get_running_loop()
-        async with anyio.create_task_group() as self.group:
-            while True:
-                await anyio.wait_readable(listener)
+        while True:
+            await anyio.wait_readable(listener)
+            try:
                 for _ in range(ACCEPT_AT_ONCE):
-                    try:
-                        if not self.make_room():
-                            await anyio.sleep(REST)
-                            break
-                        taken, _ = listener.accept()
-                    except BlockingIOError:
+                    if not self.make_room():
+                        await anyio.sleep(REST)
                         break
-                    except OSError as error:
-                        if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                            self.log.warning("no descriptors", held=len(self.connections))
-                            for stranger in list(self.strangers)[:ACCEPT_AT_ONCE]:
-                                stranger.refuse("others want in")
-                            await anyio.sleep(REST)
-                            break
-                        continue      # that one is gone already
-                    await self.take(loop, taken)
-                await anyio.sleep(0)
+                    await self.take(loop, listener.accept()[0])
+            except BlockingIOError:
+                pass                  # none is left
+            except OSError as error:  # any other is of one that is gone already
+                if error.errno in LACK:
+                    self.log.warning("no descriptors", held=len(self.connections))
+                    for stranger in list(self.strangers)[:ACCEPT_AT_ONCE]:
+                        stranger.refuse("others want in")
+                    await anyio.sleep(REST)
+            await anyio.sleep(0)
 
     async def take(self, loop, taken):
         connection = Connection(self)
--- a/tests/live.py
+++ b/tests/live.py
@@ -1,7 +1,6 @@
 """A controller in this process on real sockets, and a bare discovery client to try it with."""
 
 import gc
-import time
 from contextlib import asynccontextmanager
 
 import anyio
@@ -12,6 +11,7 @@
 from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
 
 from foxstep.balance import Controller
+from foxstep.live.clocks import clock, wall
 from foxstep.live.serving import ServingHost
 from foxstep.operate.service import OperatorService
 from foxstep.site import read_site
@@ -35,10 +35,6 @@
     await anyio.sleep(0.2)
 
 
-def clock():
-    return time.monotonic_ns() // 1000
-
-
 def open_lines(*servers, state="open"):
     return [(s, "east", "plain", 0, state, 1.0, 0) for s in servers]
 
@@ -51,7 +47,7 @@
     """(host, address) of a running controller; `changes` go over the example site's settings."""
     site = read_site(SITE)
     host = ServingHost({**site.plain(), "list_asked": False, "probes": False, **changes}, 1, clock,
-                lambda: time.time_ns() // 1000, directory, make=make, reading=reading)
+                wall, directory, make=make, reading=reading)
     front = Front(host, site.name, [{"name": o.name, "method": ""} for o in site.op_types])
     server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
     front.add_to(server)
--- a/tests/node.py
+++ b/tests/node.py
@@ -3,16 +3,18 @@
 import asyncio
 import json
 import os
-import socket
 import subprocess
 import sys
 from contextlib import asynccontextmanager
+from functools import partial
 
 import anyio
+import live
 
 from foxstep.node import told as telling
 from foxstep.node.program import Node
 from foxstep.node.streams import listen
+from foxstep.standins.ports import free_ports
 
 SETTINGS = {
     "balancers": 2, "me": 0, "az": "east", "areas": ["east", "west"], "kinds": ["std"], "step": 1.0,
@@ -34,12 +36,6 @@
             "weight": 1.0, "since_ms": since_ms}
 
 
-def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
-
-
 class Discovery:
     """Answers calls from `entries` as they stand; `fail` says how it does not: "503", "reset" or "silent"."""
 
@@ -155,7 +151,7 @@
 @asynccontextmanager
 async def node(folder, discovery, known=(), sockets=1024, **changes):
     """A controller in this process, beside its discovery."""
-    port, at = free_port(), free_port()
+    port, at = free_ports(2)
     async with await asyncio.start_server(discovery.serve, "127.0.0.1", at):
         told, site = telling.read(config(folder, port, at, known, sockets, **changes))
         running = Running(folder, port, known, sockets)
@@ -180,7 +176,4 @@
         running.wait()
 
 
-async def until(true, within=5.0):
-    with anyio.fail_after(within):
-        while not true():
-            await anyio.sleep(0.01)
+until = partial(live.until, within=5.0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,9 +10,10 @@
 import anyio
 import pytest
 from live import anyio_backend  # noqa: F401
-from node import Discovery, config, entry, free_port, node, process, until
+from node import Discovery, config, entry, node, process, until
 
 from foxstep.node.streams import Connection
+from foxstep.standins.ports import free_ports
 
 pytestmark = pytest.mark.anyio
 A, B = "s-a", "s-b"
@@ -212,8 +213,8 @@
 
 
 async def test_signals_of_the_real_process(tmp_path):
-    first, second, port = Discovery(A), Discovery(A, B), free_port()
-    at = [free_port(), free_port()]
+    first, second = Discovery(A), Discovery(A, B)
+    port, *at = free_ports(3)
     async with await asyncio.start_server(first.serve, "127.0.0.1", at[0]), \
             await asyncio.start_server(second.serve, "127.0.0.1", at[1]):
         second.index = 6
@@ -266,7 +267,7 @@
         assert (await reader.readline()).startswith(b"GET /load ")
         writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
 
-    port, discovery = free_port(), Discovery(A, B)
+    (port,), discovery = free_ports(1), Discovery(A, B)
     discovery.entries[A]["address"] = f"127.0.0.1:{port}"
     async with await asyncio.start_server(serve, "127.0.0.1", port), \
             node(tmp_path, discovery, known=[A]) as running:
