--- a/foxstep/commands/line.py
+++ b/foxstep/commands/line.py
@@ -327,6 +327,16 @@
     run([int(size) for size in sizes.split(",")])
 
 
+@main.command("measure-joining")
+@click.option("--sizes", default="400,800,1600", help="numbers of proxies, set apart by commas")
+@click.option("--servers", type=click.IntRange(2, 2000), default=200)
+@click.option("--part", type=click.FloatRange(0.01, 1), default=0.4, help="of a core that the controller has")
+def measure_joining(sizes, servers, part):
+    """Measure the CPU of a controller of the platform's to which most of a fleet comes at once."""
+    from foxstep.measure.joining import main as run
+    run([int(size) for size in sizes.split(",")], servers, part)
+
+
 @main.command("measure-peers")
 @click.option("--seconds", type=click.FloatRange(5, 3600), default=60, help="of calm, before one is killed")
 def measure_peers(seconds):
