Discovery, probes, settings: what is owed when a call ends or a file cannot be meant

Found by reading every path that ends something, each forced by a loopback test that fails on the code before: - told.read let RecursionError through (msgspec raises it beside DecodeError): a deeply nested file at SIGHUP ended the program; so did such an answer of discovery (listing.FAILED). 'services' told as a map with a count made that many maps until memory ran out (names.site_of); nan and inf in pace and head raised in Host. - Listing.take applied a whole list that is empty, or older than what was told: every line was withdrawn, or draining servers came back. Now not taken; an older one is believed after as long as ask_within. - Listing.follow told 'failed', and so waited a second or more, where only the connection it used again had ended; a call called off in the tick in which it failed was told as failed; SIGHUP with another discovery waited out the backoff of the old address; fetch was forgotten where its call failed. - Prober.probe swallowed a probe ordered while one was out: the old process's outcome stood for the new one.

--- a/foxstep/node/call.py
+++ b/foxstep/node/call.py
@@ -16,13 +16,14 @@
 
     def __init__(self):
         self.transport = self.answer = None
-        self.open = False
+        self.open = self.touched = False  # `touched`: some of an answer has come
 
     def connection_made(self, transport):
         self.transport, self.open = transport, True
         self.parser, self.body, self.size = httptools.HttpResponseParser(self), [], 0
 
     def data_received(self, data):
+        self.touched = True
         try:
             self.parser.feed_data(data)
         except Exception as error:  # httptools' errors have no common base that is exported
--- a/foxstep/node/listing.py
+++ b/foxstep/node/listing.py
@@ -10,7 +10,7 @@
 SECOND = 1_000_000
 DIAL_WITHIN = 1.0            # seconds
 DECODER = msgspec.json.Decoder(Listed)
-FAILED = (Broken, OSError, TimeoutError, Unsound, msgspec.DecodeError)
+FAILED = (Broken, OSError, TimeoutError, Unsound, msgspec.DecodeError, UnicodeError, RecursionError)
 
 
 class Listing:
@@ -22,10 +22,12 @@
         self.addresses = {}
         self.wanted, self.watching, self.calling = anyio.Event(), False, None
         self.whole = False                      # the next call asks for all of the list
+        self.back_since = None                  # since when discovery answers with an older list than ours
         # A watch may wait for so long: short beside the time after which its news counts as told, so that
         # one that has gone silent is noticed; no shorter, since each call is work for discovery.
         self.wait = min(max(host.site.get("ask_within", 8 * SECOND) / SECOND / 2, 1.0), 20.0)
         self.late = 1.2                         # seconds after that wait until the call counts as failed
+        self.believed_after = host.site.get("ask_within", 8 * SECOND)
         host.watch, host.fetch = self.watch, self.fetch
 
     def remember(self, known):
@@ -46,9 +48,29 @@
                 self.addresses[server.name] = server.address
         return lines
 
+    def doubted(self, listed):
+        """Why an answer is not taken, or "".
+
+        Guards against lists that lag behind what was told, or have lost it: servers that drain would come
+        back, new ones would go, and of an empty one nothing would be left to pick. Harm: a discovery that
+        numbers anew is believed only after as long as the settings let a controller go without it."""
+        if listed.snapshot and not listed.endpoints and self.addresses:
+            self.whole = True
+            return "the list is empty"
+        if self.index is None or listed.index >= self.index:
+            self.back_since = None
+            return ""
+        now = self.host.clock()
+        self.back_since = self.back_since or now
+        if listed.snapshot and now - self.back_since >= self.believed_after:
+            self.back_since = None
+            return ""
+        self.whole = True
+        return f"the list went back from {self.index} to {listed.index}"
+
     def watch(self, on):
         self.watching = on
-        if on:
+        if on and not self.calling:
             self.wanted.set()
 
     def fetch(self):
@@ -57,7 +79,8 @@
         self.call_anew()                        # one that waits would hold it up
 
     def move(self, discovery):
-        """Discovery has another address now: the list stands, the call under way is made there anew."""
+        """Discovery has another address now: the list stands, the call under way is made there anew, and one
+        that waits to be made again after a failure at the old address is made at once."""
         if address(discovery, "discovery") != address(self.at, "discovery"):
             self.at = discovery
             self.call_anew()
@@ -65,6 +88,8 @@
     def call_anew(self):
         if self.calling:
             self.calling.cancel()
+        elif self.watching:
+            self.wanted.set()
 
     async def run(self):
         while True:
@@ -74,6 +99,9 @@
             while reason is None:
                 with anyio.CancelScope() as self.calling:
                     reason = await self.follow()
+                if self.calling.cancel_called:  # also where it ended in the tick in which it was called off
+                    reason = None
+            self.calling = None
             if reason:
                 self.log.warning("list failed", why=reason)
                 self.host.listed("failed", [])
@@ -83,20 +111,30 @@
         caller, asked = None, True              # `asked`: the host waits for this answer
         try:
             while self.watching or self.whole:
-                if caller is None or not caller.open:
+                if reused := caller is not None and caller.open:
+                    caller.touched = False
+                else:
                     with anyio.fail_after(DIAL_WITHIN):
                         caller = await dial(address(self.at, "discovery"))
                 whole = self.whole or self.index is None
-                self.whole = False
                 path = "/v1/servers" if whole else (
                     f"/v1/servers?after={self.index}&wait_ms={round(self.wait * 1000)}")
-                with anyio.fail_after((0 if whole else self.wait) + self.late + whole):
-                    status, body = await caller.get(path, self.at)
+                try:
+                    with anyio.fail_after((0 if whole else self.wait) + self.late + whole):
+                        status, body = await caller.get(path, self.at)
+                except Broken:
+                    # A connection that ends between two calls, or before any of an answer, tells of itself
+                    # only; a new one tells of discovery.
+                    if reused and not caller.touched:
+                        continue
+                    raise
                 if status != 200:
                     return f"answered {status}"
                 listed = DECODER.decode(body)
+                if reason := self.doubted(listed):
+                    return reason
                 lines = self.take(listed)
-                self.index = listed.index
+                self.index, self.whole = listed.index, self.whole and not whole
                 if lines or asked or listed.snapshot:
                     self.host.listed("whole" if listed.snapshot else "changes", lines)
                 asked = False
--- a/foxstep/node/probes.py
+++ b/foxstep/node/probes.py
@@ -16,21 +16,28 @@
         self.host, self.listing = host, listing
         self.group, self.limit = None, anyio.Semaphore(AT_ONCE)
         self.path = "/load" if host.site.get("reports") else "/healthz"
-        self.waiting = {}                # servers with a probe under way, as a set in order
+        self.waiting = {}                # server with a probe under way -> whether it is to be asked again
         host.probe = self.probe
 
     def probe(self, server):
-        if server not in self.waiting:
-            self.waiting[server] = None
+        """One that is ordered while another is under way is meant for a process that has started since: what
+        the one under way comes to says nothing of it, and it is asked anew."""
+        if server in self.waiting:
+            self.waiting[server] = True
+        else:
+            self.waiting[server] = False
             self.group.start_soon(self.ask, server)
 
     async def ask(self, server):
-        outcome, load = "silent", None
-        async with self.limit:
-            started = self.host.clock()
-            with anyio.move_on_after(WITHIN):
-                outcome, load = await self.outcome(server)
-        self.waiting.pop(server, None)
+        again = True
+        while again:
+            outcome, load, self.waiting[server] = "silent", None, False
+            async with self.limit:
+                started = self.host.clock()
+                with anyio.move_on_after(WITHIN):
+                    outcome, load = await self.outcome(server)
+            again = self.waiting[server]
+        del self.waiting[server]
         self.host.probed(server, outcome, self.host.clock() - started, load)
 
     async def outcome(self, server):
--- a/foxstep/node/told.py
+++ b/foxstep/node/told.py
@@ -101,9 +101,13 @@
 
 def site_of(settings):
     """The plain map that the module gets. Raises Unsound."""
+    # Guards against a number of op types that is told rather than counted: a map for each would be made.
+    spoofed = any(name.startswith("services.") for name in settings)
+    if spoofed or not isinstance(settings.get("services"), list):
+        raise Unsound("settings: the op types are no list")
     try:
         site = names.site_of(dict(pairs(settings)))
-    except (ValueError, KeyError, OverflowError, AttributeError) as error:
+    except (ValueError, KeyError, OverflowError, AttributeError, RecursionError) as error:
         raise Unsound(f"settings: {error}") from None
     missing = [name for name in NEEDED if name not in site]
     if missing:
@@ -113,6 +117,12 @@
         raise Unsound(f"settings: an op type needs {', '.join(needed)}")
     if min(site["lines_per_s"], site["backlog"], site["cycle"], site["proxies"]) <= 0:
         raise Unsound("settings: pace, backlog, cycle and number of proxies are above 0")
+    for facts in (site, *site["op_types"]):
+        endless = [name for name, value in facts.items() if isinstance(value, float) and not isfinite(value)]
+        if endless:
+            raise Unsound(f"settings: {', '.join(endless)} is no number")
+    if site["head"] < 0:
+        raise Unsound("settings: a message's own lines are not below 0")
     return {"messages_most": 0, "messages_window": 10_000_000, "probes": False, "peers": False, **site}
 
 
@@ -130,7 +140,7 @@
             told = msgspec.json.decode(file.read(), type=Told)
     except OSError as error:
         raise Unsound(f"{path}: {error.strerror}") from None
-    except (msgspec.DecodeError, UnicodeError) as error:
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise Unsound(f"{path}: {error}") from None
     address(told.listen, "listen")
     address(told.discovery, "discovery")
--- a/tests/node.py
+++ b/tests/node.py
@@ -37,16 +37,26 @@
 
 
 class Discovery:
-    """Answers calls from `entries` as they stand; `fail` says how it does not: "503", "reset" or "silent"."""
+    """Answers calls from `entries` as they stand; `fail` says how it does not: "503", "reset", "cut" in
+    mid-answer, "silent", or the bytes of a body to answer with. `once`: only for one call."""
 
     def __init__(self, *names):
         self.index, self.entries, self.fail, self.paths = 5, {n: entry(n) for n in names}, None, []
+        self.once = False
         self.changed, self.before = asyncio.Event(), {}
 
     def change(self, *entries):
         self.index += 1
         self.before = {e["name"]: e for e in entries}
         self.entries.update(self.before)
+        self.wake()
+
+    def replace(self, index, *entries):
+        """Another list altogether; a watch that waits is told that there is nothing new, and calls again."""
+        self.index, self.entries, self.before = index, {e["name"]: e for e in entries}, {}
+        self.wake()
+
+    def wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -57,13 +67,21 @@
                     pass
                 path = line.split()[1].decode()
                 self.paths.append(path)
-                if self.fail == "silent":
+                fail, self.fail = self.fail, None if self.once else self.fail
+                if fail == "silent":
                     await asyncio.sleep(60)
-                if self.fail == "reset":
+                if fail == "cut":
+                    writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{"index":99,"snapshot":true')
+                    await writer.drain()
+                    return writer.close()
+                if fail == "reset":
                     return writer.transport.abort()
-                if self.fail == "503":
+                if fail == "503":
                     writer.write(b"HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n")
                     continue
+                if fail:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(fail), fail))
+                    continue
                 told = self.entries
                 if f"after={self.index}&" in path:
                     wait = float(path.rpartition("=")[2]) / 1000
