Streams: late first words, unread strangers, and pongs that nobody reads

Found by reading what ends connections; each is forced by a loopback test that fails on the code before: - Connection.enter let the words of a connection that its proxy had given up replace the newer stream, which was then reset (Host.enter ends 'the older', which was the newer). Connections are numbered as accepted. - Door.make_room ended the oldest stranger though its 'joined' stood unread in the socket: a proxy that the controller 'does not take' keeps its time limits running. Door.run made room before it knew that anybody wanted in: with all descriptors taken, one stranger went for nobody. - Connection.take answered pings without end for a peer that reads nothing. Ruled out: the time-out of a stranger in the tick of its words (the loop reads before timers fire; test).

--- a/foxstep/node/streams.py
+++ b/foxstep/node/streams.py
@@ -7,6 +7,7 @@
 import errno
 import socket
 from contextlib import suppress
+from itertools import count
 
 import anyio
 import structlog
@@ -31,8 +32,9 @@
 
     goes_home = False
 
-    def __init__(self, door):
-        self.door, self.host = door, door.host
+    def __init__(self, door, taken=None):
+        self.door, self.host, self.taken = door, door.host, taken  # `taken`: its socket
+        self.number = next(door.numbers)  # in the order of dialling
         self.transport, self.rest = None, b""
         self.ident = self.zone = None     # the proxy's number; the zone of a proxy or a collector
         self.timer = self.pending = None  # `pending`: (holding, message) that waits for the reader
@@ -95,7 +97,8 @@
             self.refuse(f"unreadable: {unreadable}")
             return
         if type(message) is Ping:
-            self.transport.write(messages.PONG)
+            if not self.paused:  # guards against pongs that pile up for one who reads none; harm: none
+                self.transport.write(messages.PONG)
         elif self.zone is None:
             self.enter(message)
         else:
@@ -112,6 +115,8 @@
             self.refuse("no such zone")
         elif type(message) is Joined and message.node >= self.host.site["proxies"]:
             self.refuse("no such proxy")
+        elif type(message) is Joined and self.late(message.node):
+            self.refuse("it has dialled anew since")
         else:
             self.zone = message.locality
             self.known()
@@ -119,6 +124,19 @@
                 self.ident = message.node
                 self.host.joined(self.ident, self.zone, message.w, message.cold, self)
 
+    def late(self, node):
+        """Guards against first words that were held up on the way until the proxy had given this connection
+        up, dialled again and joined: its good stream would be ended for them. Harm: none."""
+        joined = self.host.joins.get(node)
+        return joined is not None and joined.outlet.number > self.number
+
+    def unread(self):
+        """Whether it has said something that this program has not read yet."""
+        try:
+            return bool(self.taken.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def known(self):
         """No stranger any more."""
         self.door.strangers.pop(self, None)
@@ -226,6 +244,7 @@
         self.host, self.log, self.load_of = host, structlog.get_logger("foxstep.streams"), load_of
         self.buffer = memoryview(bytearray(READ_AT_ONCE))
         self.connections, self.strangers = {}, {}   # sets in order of coming
+        self.numbers = count()
         self.half_read = 0
         self.limit(sockets, memory)
 
@@ -237,13 +256,17 @@
         max(self.connections, key=lambda c: len(c.rest)).refuse("half a message that is too long")
 
     def make_room(self):
-        """Whether one more fits; the stranger that has been silent for longest goes for it.
+        """Whether one more fits; the stranger that has been silent for longest goes for it. One whose words
+        are here, but not read yet, has its turn first.
 
         Guards against strangers that keep proxies out. Harm: a proxy that needs longer than all those that
         come after it to say its first word dials again."""
-        while len(self.connections) >= self.most and self.strangers:
-            next(iter(self.strangers)).refuse("others want in")
-        return len(self.connections) < self.most
+        while len(self.connections) >= self.most:
+            silent = next((stranger for stranger in self.strangers if not stranger.unread()), None)
+            if silent is None:
+                return False
+            silent.refuse("others want in")
+        return True
 
     async def run(self, listener):
         """Takes connections from a listening socket, a few at a time."""
@@ -251,7 +274,9 @@
         while True:
             await anyio.wait_readable(listener)
             try:
-                for _ in range(ACCEPT_AT_ONCE):
+                for taken in range(ACCEPT_AT_ONCE):
+                    if taken and len(self.connections) >= self.most:
+                        break         # nobody goes before it is known that another wants in
                     if not self.make_room():
                         await anyio.sleep(REST)
                         break
@@ -261,13 +286,13 @@
             except OSError as error:  # any other is of one that is gone already
                 if error.errno in LACK:
                     self.log.warning("no descriptors", held=len(self.connections))
-                    for stranger in list(self.strangers)[:ACCEPT_AT_ONCE]:
+                    for stranger in [s for s in self.strangers if not s.unread()][:ACCEPT_AT_ONCE]:
                         stranger.refuse("others want in")
                     await anyio.sleep(REST)
             await anyio.sleep(0)
 
     async def take(self, loop, taken):
-        connection = Connection(self)
+        connection = Connection(self, taken)
         try:
             taken.setblocking(False)
             taken.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,16 +2,19 @@
 events. The table of these crossings stands in `docs/design/node.md`."""
 
 import asyncio
+import json
 import signal
+import socket
 import time
 
 import anyio
 import pytest
 from live import anyio_backend  # noqa: F401
 from node import SETTINGS, Discovery, config, entry, node, process, until
-from test_node import ready
+from test_node import Slow, ready
 
 from foxstep.node import told as telling
+from foxstep.node.streams import JOIN_WITHIN, Connection
 from foxstep.standins.ports import free_ports
 
 pytestmark = pytest.mark.anyio
@@ -30,6 +33,139 @@
     return kinds
 
 
+# -- streams
+
+
+async def test_first_words_held_up_until_the_proxy_has_dialled_anew_end_no_good_stream(tmp_path):
+    discovery = Discovery(A, B)
+    async with node(tmp_path, discovery, known=[A, B]) as running:
+        older, words = await running.dial(), joined(3)
+        await older.say(words[:20])
+        await until(lambda: running.door.half_read == 20)
+        newer = await running.dial()
+        await newer.join(3)
+        await newer.update()
+        await older.say(words[20:])
+        assert await older.line() in (None, {"@type": "refused"})
+        discovery.change(entry(A, "leaving"))
+        while newer.held.keys() != {B}:
+            await newer.update()
+        assert set(running.host.joins) == {3}
+
+
+async def test_a_stranger_whose_words_are_not_read_yet_makes_room_for_nobody(tmp_path):
+    async with node(tmp_path, Discovery(A), known=[A], sockets=48) as running:
+        door, proxy = running.door, socket.create_connection(("127.0.0.1", running.port))
+        await until(lambda: door.strangers)
+        others = [await running.dial() for _ in range(door.most - 1)]
+        await until(lambda: len(door.strangers) == door.most)
+        (first, second, *_) = door.strangers
+        proxy.sendall(joined(3))                     # the loop gets no turn to read it before this:
+        assert door.make_room()
+        assert not first.closed and second.closed
+        await until(lambda: 3 in running.host.joins)
+        for end in (proxy, *others):
+            end.close()
+
+
+async def test_the_time_out_of_a_stranger_fires_in_the_tick_of_its_words(tmp_path):
+    async with node(tmp_path, Discovery(A), known=[A]) as running:
+        with socket.create_connection(("127.0.0.1", running.port)) as proxy:
+            await until(lambda: running.door.strangers)
+            proxy.sendall(joined(3))
+            time.sleep(JOIN_WITHIN + 0.1)            # both are due when the loop turns again
+            await until(lambda: 3 in running.host.joins)
+            await anyio.sleep(0)
+            assert len(running.door.connections) == 1 and not running.door.strangers
+
+
+async def test_pongs_do_not_pile_up_for_one_who_reads_none(tmp_path):
+    async with node(tmp_path, Discovery(A), known=[A]) as running:
+        connection, slow = Connection(running.door), Slow()
+        connection.connection_made(slow)
+        ping = b'{"@type":"ping"}\n' * 3000
+        running.door.buffer[:len(ping)] = ping
+        connection.buffer_updated(len(ping))
+        assert len(slow.written) == 3000
+        connection.pause_writing()
+        connection.buffer_updated(len(ping))
+        assert len(slow.written) == 3000
+        connection.resume_writing()
+        connection.buffer_updated(17)
+        assert len(slow.written) == 3001
+        connection.known()
+
+
+async def test_a_mark_of_a_stream_that_was_reset_is_not_answered_on_the_next(tmp_path):
+    discovery = Discovery(A, B)
+    async with node(tmp_path, discovery, known=[A, B]) as running:
+        older = await running.dial()
+        await older.join(3)
+        parts = await older.update()
+        await until(lambda: running.node.listing.index == 5)
+        while not (number := parts[-1].get("ticket")):
+            discovery.change(entry(B, "leaving" if B in older.held else "active"))
+            parts = await older.update()
+        older.writer.transport.abort()
+        await until(lambda: not running.host.joins)
+        newer = await running.dial()
+        await newer.join(3, cold=False)
+        (first, *_) = await newer.update()
+        assert first["whole"]                        # nothing of what the older was owed is taken for granted
+        await newer.say({"@type": "applied", "node": 3, "nonce": number, "latency": 1.0},
+                        {"@type": "usage", "node": 3, "route": "read", "total": 1, "errors": 0,
+                         "interval": 9.0})
+        await until(lambda: any(bucket[0] for bucket in running.host.controller.proxies[3].usage[0].buckets))
+        assert not running.host.joins[3].accepted
+
+
+async def test_what_waits_for_a_reader_ends_with_its_stream(tmp_path):
+    async with node(tmp_path, Discovery(A, B), known=[A, B]) as running:
+        proxy = await running.dial()
+        await proxy.join(3)
+        await proxy.update()
+        await until(lambda: running.node.listing.index == 5)
+        connection = running.host.joins[3].outlet
+        connection.pause_writing()
+        running.host.listed("changes", [(A, "east", "std", 0, "draining", 1.0, 0)])
+        await until(lambda: connection.pending)
+        proxy.writer.transport.abort()
+        await until(lambda: not running.host.joins)
+        assert connection.pending is None and not connection.marks and not running.host.book.holdings
+        again = await running.dial()
+        await again.join(3, cold=False)
+        assert (await again.update())[0]["whole"] and again.held.keys() == {B}
+
+
+async def test_a_collector_that_ends_in_the_middle_of_a_line_has_said_what_was_whole(tmp_path):
+    async with node(tmp_path, Discovery(A), known=[A]) as running:
+        heard = []
+        running.host.heard = lambda *args: heard.append(args)
+        collector = await running.dial()
+        met = json.dumps({"@type": "heard", "locality": "east", "endpoint": A, "total": 4, "errors": 1,
+                          "rtt": 20.5, "interval": 500.0}).encode() + b"\n"
+        await collector.say({"@type": "collector", "locality": "east"}, met + met[:-2])
+        await until(lambda: heard and running.door.half_read)
+        collector.close()
+        await until(lambda: not running.door.connections)
+        assert len(heard) == 1 and not running.door.half_read
+
+
+async def test_all_proxies_come_to_a_controller_that_has_just_started(tmp_path):
+    async with node(tmp_path, Discovery(A, B), known=[A, B]) as running:
+        number = SETTINGS["familyInfo"]["agents"]
+        proxies = [await running.dial() for _ in range(number)]
+        for k, proxy in enumerate(proxies):
+            await proxy.join(k, cold=bool(k % 2))
+        stranger = await running.dial()
+        await stranger.say({"@type": "ping"})
+        assert await stranger.line() == {"@type": "pong"}
+        for proxy in proxies:
+            await proxy.update()
+            assert proxy.held
+        assert set(running.host.joins) == set(range(number))
+
+
 # -- discovery
 
 
