Servers are ranked once a pass: a proxy's lines no longer cost a look at all of them

Measured (measure-joining, 1,600 proxies x 200 servers): 9.4 million calls of crowded() in ten seconds of orders, a third of all CPU; balance.line_changes took min() and nsmallest() over all servers for each proxy in each pass. Now a heap for each zone, whose entries are put right as they come up. Longest turn of the loop at 1,600 proxies: 218 to 95 ms while they join, 316 to 222 ms later.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -9,7 +9,7 @@
 to date, rule-bound changes first, within what the channel takes.
 """
 
-from heapq import nsmallest
+from heapq import heapify, heappop, heappush, nsmallest
 from itertools import count
 from math import ceil
 from statistics import fmean, median_high, median_low
@@ -231,6 +231,7 @@
             self.pressing = False
             self.want, self.crew = self.shared_table(), self.joined_proxies()
             self.crew_total = sum(p.total for p in self.crew)
+            self.rank_servers()
             yield from self.update_proxies(tick)
 
     def take_stock(self):
@@ -513,30 +514,62 @@
         kept = KEPT * proxy.total * self.site.get("keepalive", 15 * SECOND) / SECOND
         return min(len(self.want), max(ceil(self.breadth * max(min(kept, least + spare), least)), 2))
 
+    def crowd(self, server):
+        return (server.cover + 0.01) / self.want[server]
+
+    def rank_servers(self):
+        """The servers of each zone as a heap, the least crowded first: what one proxy's table takes is found
+        without a look at all of them. An entry that has become untrue is put right as it comes up."""
+        self.ranks, self.turns = {}, count()     # a turn of its own for each entry: servers have no order
+        for server in self.want:
+            self.ranks.setdefault(server.zone, []).append((self.crowd(server), next(self.turns), server))
+        for heap in self.ranks.values():
+            heapify(heap)
+
+    def least_crowded(self, proxy, number):
+        """So many servers that a proxy holds no line of, near ones before those of other zones."""
+        found = []
+        for zone, heap in self.ranks.items():
+            seen, left = {}, number
+            while heap and left > 0:
+                crowd, turn, server = heappop(heap)
+                if crowd != self.crowd(server):
+                    heappush(heap, (self.crowd(server), turn, server))
+                elif server not in seen:
+                    seen[server] = crowd, turn, server
+                    if server not in proxy.lines:
+                        left -= 1
+                        found.append((crowd * (1 if zone == proxy.zone else CROSSING), turn, server))
+            for entry in seen.values():
+                heappush(heap, entry)
+        return [server for *_, server in nsmallest(number, found)]
+
     def line_changes(self, proxy, tick):
         """What brings a proxy's part of the shared table up to date: 0 removes a line. Its servers are those
         that the tables bring the fewest ops against their weight, near ones before those of other zones."""
         def crowded(server):
-            return (server.cover + 0.01) / want[server] * (1 if server.zone == proxy.zone else CROSSING)
+            return self.crowd(server) * (1 if server.zone == proxy.zone else CROSSING)
 
         want, size = self.want, self.table_size(proxy)
         changed = {s: 0 for s in proxy.lines if s not in want}
-        held, others = [s for s in proxy.lines if s in want], [s for s in want if s not in proxy.lines]
+        held = [s for s in proxy.lines if s in want]
         off = [s for s in held if abs(proxy.lines[s] / want[s] - 1) > OFF_BY]
         if off and (tick or any(proxy.lines[s] > 1.5 * want[s] and self.warmth(s) < 1 for s in off)):
             changed.update((s, want[s]) for s in held if abs(proxy.lines[s] / want[s] - 1) > OFF_BY / 2)
         grow = len(held) < size / CROWDED or changed or not proxy.bound
-        added = nsmallest(size - len(held), others, crowded) if grow else []
+        added = self.least_crowded(proxy, size - len(held)) if grow else []
         if tick and len(held) > size * CROWDED:
             changed.update((s, 0) for s in sorted(held, key=crowded)[size:])
-        elif tick and held and others and not added:
-            worst, best = max(held, key=crowded), min(others, key=crowded)
-            if crowded(worst) > CROWDED * crowded(best):
-                changed[worst], added = 0, [best]
+        elif tick and held and not added and (others := self.least_crowded(proxy, 1)):
+            worst = max(held, key=crowded)
+            if crowded(worst) > CROWDED * crowded(others[0]):
+                changed[worst], added = 0, others
         changed.update((s, want[s]) for s in added)
         ops = proxy.total / max(sum(proxy.lines.values()) + sum(want[s] for s in added), 0.01)
         for server, weight in changed.items():
             server.cover += ops * (weight - proxy.lines.get(server, 0.0))
+            if weight < proxy.lines.get(server, 0.0) and server in want:  # less crowded than its entry says
+                heappush(self.ranks[server.zone], (self.crowd(server), next(self.turns), server))
         return changed
 
     def update_proxies(self, tick):
