Channel: a broken stream's message and the owed ones are found without a look at all that wait

channel.drop and settle copied the whole queue for each proxy that left or message that left, next_at asked for each waiting proxy: with most of a fleet at one controller, work that grows with its square.

--- a/foxstep/live/channel.py
+++ b/foxstep/live/channel.py
@@ -24,8 +24,9 @@
 
     def drop(self, proxy):
         """The proxy's stream broke (or is a new one): what waited for it is lost, its count starts anew."""
-        for key in [key for key, message in self.queue.items() if message.proxy == proxy]:
-            self.waiting -= self.queue.pop(key).cost
+        for key in [proxy] if self.bounded else [key for key in self.queue if key[0] == proxy]:
+            if key in self.queue:
+                self.waiting -= self.queue.pop(key).cost
         self.owed.pop(proxy, None)
         self.written.pop(proxy, None)
 
@@ -62,8 +63,9 @@
 
     def settle(self, now):
         """Lets owed messages in, the oldest first, as far as they fit."""
-        for proxy in list(self.owed):
-            message, standing = self.owed[proxy], self.queue.get(proxy)
+        while self.owed:
+            proxy, message = next(iter(self.owed.items()))
+            standing = self.queue.get(proxy)
             if not self.fits(now, message.cost):
                 break
             del self.owed[proxy]
@@ -87,7 +89,12 @@
         """When the next message may leave; None while none waits."""
         if not self.queue:
             return self.free_at if self.owed else None
-        soonest = min(self.may_write(now, proxy) for proxy in self.queue)
+        soonest = None
+        for proxy in self.queue:
+            at = self.may_write(now, proxy)
+            soonest = at if soonest is None else min(at, soonest)
+            if at <= max(now, self.free_at):  # none can leave sooner: no look at the rest of a long queue
+                break
         return max(self.free_at, soonest)
 
     def take(self, now):
