The list is asked for when that is due; an outcome of a replaced process says nothing

Seen by reading: after a failed call decide() ordered the next only when something else stirred the module, up to one and a half periods late where nothing is heard (scenario list_asked_when_due: fails without the wake). begin() resets probe_out, yet probed() took the older process's outcome for the new one's.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -70,7 +70,7 @@
         self.breadth, self.place_at = 1.0, now + 3 * self.period  # part of lines held; kinds are measured at
         self.due, self.decided_at, self.reported = now, now - self.period, False
         self.shift = None                        # puts the reports' arrival into the middle of a bucket
-        self.ask_again, self.list_fails = now, 0
+        self.ask_again, self.ask_wake, self.list_fails = now, None, 0
         self.capacity = None                     # C, in ops a second of this controller's own proxies
         self.rates = 0.0                         # what those usually get, as C was last brought up to it
         self.trouble = 0                         # periods of it in a row; below 0: of waiting after a cut
@@ -128,7 +128,7 @@
 
     def probed(self, now, ident, outcome, took, load):
         server = self.servers.get(ident)
-        if server is None:
+        if server is None or not server.probe_out:  # or of a process that another has replaced since
             return
         server.probe_out, good = 0, outcome in ("acked", "rejected")
         server.probes_good = server.probes_good + 1 if good else 0
@@ -210,9 +210,14 @@
         return order
 
     def decide(self):
-        if self.site.get("list_asked") and self.ask_again is not None and self.now >= self.ask_again:
-            self.ask_again = None  # one subscription, asked for again after a failure, spread and backed off
-            yield ("watch", True)
+        if self.site.get("list_asked") and self.ask_again is not None:
+            # One subscription, asked for again after a failure, spread and backed off, when that is due.
+            if self.now >= self.ask_again:
+                self.ask_again = None
+                yield ("watch", True)
+            elif self.ask_again != self.ask_wake:
+                self.ask_wake = self.ask_again
+                yield ("wake", self.ask_wake, "list")
         # A period ends with the reports, so that they are acted on at once; without any, by the timer.
         due = self.decided_at + self.period - self.cycle // 2
         tick = self.now >= (due if self.reported else self.due)
