C follows what the list takes away or starts cold, before waits and errors show it

At fault: balance.set_caps learns C from waits and errors only; take_stock brings C up and down with proxies, not with servers. Ruled out: late lists (told within 0.2 s of the change), the channel (waiting 0). Change: power = listed sizes x what cold ones surely can do; C moves with it; a pool below 0.8 of its usual power is capped at 0.9 of C a part as calm busy cores showed it. Usual follows within the settings' ramp. Scenario pool_shrinks fails without it.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -73,6 +73,8 @@
         self.ask_again, self.ask_wake, self.list_fails = now, None, 0
         self.capacity = None                     # C, in ops a second of this controller's own proxies
         self.rates = 0.0                         # what those usually get, as C was last brought up to it
+        self.power = self.usual_power = 0.0      # usual work that the servers surely can do now; and lately
+        self.per_power = None                    # C for each part of it, as busy cores show while it is calm
         self.trouble = 0                         # periods of it in a row; below 0: of waiting after a cut
         self.calm_latency = self.lately = self.target / 3
         self.binding = False
@@ -251,6 +253,12 @@
         if self.capacity and self.rates:
             self.capacity = self.capacity * rates / self.rates or None
         self.rates = rates
+        # And of the servers: with those that the list takes away, and starts cold, it is less at once.
+        power = sum(s.size * self.warmth(s) for s in self.open_servers())
+        if self.capacity and self.power and power:
+            self.capacity *= power / self.power
+        part = min(self.period / max(self.site.get("ramp", 0), 1), 1.0) if self.usual_power else 1.0
+        self.power, self.usual_power = power, self.usual_power + (power - self.usual_power) * part
         told, covered, recent = 0.0, 0.0, [0.0] * len(self.op_types)
         for server in self.open_servers():
             server.tried = server.tries.sums(self.recent, self.span)
@@ -436,8 +444,18 @@
                 faster = min(FAST_GROWTH * self.capacity, shown) if self.binding and shown else 0.0
                 self.capacity = max(GROWTH * self.capacity, faster)
         self.capacity = self.capacity and max(self.capacity, self.acked)  # what is done can be done
-        self.binding = bool(self.capacity) and sum(self.demand) > ACT_AT * self.capacity
-        self.caps = self.fill(self.demand) if self.binding else [None] * len(self.demand)
+        # Guards against a pool that the list has just made much smaller: waits and errors would show it only
+        # when rooms are full and cold servers get nothing. Harm: cores busy with other things than ops.
+        steady = abs(self.power - self.usual_power) <= OFF_BY * self.usual_power
+        if shown and steady and enough and not (slow or near or failing):
+            found = shown / max(self.power, 0.1)
+            self.per_power = found if self.per_power is None else (
+                self.per_power + (found - self.per_power) * STEADY)
+        fallen = self.per_power and self.power < ACT_AT * self.usual_power
+        left = fallen and SHOWN * self.per_power * self.power
+        limit = min(filter(None, (self.capacity, left)), default=None)
+        self.binding = bool(limit) and sum(self.demand) > ACT_AT * limit
+        self.caps = self.fill(self.demand, limit) if self.binding else [None] * len(self.demand)
         proxies = len(self.joined_proxies())
         self.quotas = [cap and cap * self.stretch(cap, heard, proxies)
                        for cap, heard in zip(self.caps, self.demand, strict=True)]
@@ -446,9 +464,9 @@
                f"lat {self.latency / 1000:.0f} calm {self.calm_latency / 1000:.0f} "
                f"err {self.errors:.2f} caps {[cap and round(cap) for cap in self.caps]}")
 
-    def fill(self, heard):
+    def fill(self, heard, capacity):
         """Weighted water filling: what one op type cannot use passes to the others by weight, in turn."""
-        budget = (1 - HEADROOM) * self.capacity
+        budget = (1 - HEADROOM) * capacity
         weights = [max(d, 0.1) * o.earnings**EARNINGS_POWER
                    for o, d in zip(self.op_types, heard, strict=True)]
         least, left = LEAST_CAP * budget / len(heard), list(range(len(heard)))
