Probes that tries contradict are not believed; where nobody reports, waits step the weights

At fault: balance.judge_servers took probes_bad >= 2 with no tries heard as out of reach and gave such a server no way back but by good probes, so the table shrank to those that happened to be tried; step_weights did nothing without load reports, which come by probes only here. Ruled out: the settings (probes true), our own time-out (8 to 10 ms, refused), requests sent wrongly (none left this machine). Scenarios probes_cut_off and nobody_reports fail without it.

--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -352,8 +352,11 @@
         parts = [s.aborted_part for s in candidates if s.aborted_part is not None and s.trust > 0]
         usual = median_low(parts or [0.0])
         out = sum(1 for s in candidates if s.trust == 0)
+        # Probes that most of those do not answer whose tries are acked speak of this controller's own way.
+        mute = [server.probes_bad >= 2 for server in candidates if server.tried[2]]
+        believed = 2 * sum(mute) <= len(mute)
         for server in candidates:
-            unreachable, part = server.probes_bad >= 2, server.aborted_part
+            unreachable, part = believed and server.probes_bad >= 2, server.aborted_part
             working = server.loaded[1] > BUSY * server.loaded[0] > 0 and not unreachable
             failing = part is not None and part > BAD + (0 if unreachable else BAD * usual) and not working
             if server.trust > 0:
@@ -364,7 +367,8 @@
                     out += 1
                 elif server.trust < 1 and self.now - server.trust_since >= 2 * self.period:
                     server.trust, server.trust_since = min(1.0, server.trust * 2), self.now
-            elif server.probes_good > 1 and self.now - server.trust_since >= self.period * 2**server.strikes:
+            elif (server.probes_good > 1 or not believed) and (
+                    self.now - server.trust_since >= self.period * 2**server.strikes):
                 # The trial is graded like a cold start, since it may be one that the list does not tell yet;
                 # each strike doubles the wait, against flapping and servers that fail fast yet answer probes.
                 server.trust, server.trust_since = self.site.get("cold_share", 0.2), self.now
@@ -385,6 +389,9 @@
             if reports:
                 wait = held / reports / max(rate * server.weight, 0.5) * SECOND
                 loads.append((server, max(busy / reports + wait / self.target, 0.05)))
+        if not loads and self.now >= self.place_at:
+            # Nobody has reported: waits alone tell. Harm: a slow server gets less than it could do.
+            loads = [(s, s.slower) for s in trusted if s.tried[2] >= BAD_TRIES]
         if len(loads) < 2:
             return
         if sum(self.busy) and self.now >= self.place_at:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -9,6 +9,7 @@
     ops TYPE RATE [PROXY]               from now on so much of an op type comes to each proxy, or to one
     met SERVER|* NAME=VALUE ...         from now on tries meet there: aborted=PART latency=MS busy=PART
                                         waiting=N probe=OUTCOME zone=ZONE quiet=1 (it is not heard of)
+                                        unreported=1 (what is heard of it carries no load report)
     wait SECONDS                        time passes; reports come every cycle
     learnt SERVER WEIGHT [withdrawn]    another controller's word of it
     inherited OPS                       C comes with proxies of another controller's, or goes
@@ -102,7 +103,7 @@
                 continue
             tries = max(1, round(total / len(open_now)))
             aborted = round(tries * met["aborted"])
-            load = {"busy": met["busy"], "waiting": met["waiting"]}
+            load = None if met.get("unreported") else {"busy": met["busy"], "waiting": met["waiting"]}
             self.controller.heard(self.now, server, met.get("zone", "east"), tries, aborted,
                                   round(met["latency"] * 1000), cycle, load)
         for proxy in joined:
