--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -247,6 +247,10 @@
         running.node.reload()                    # twice in a row: the second finds nothing new
         await until(lambda: B in running.host.listed_lines, within=1.0)
         assert len(discovery.paths) == 1 and "after=1&" in second.paths[0]
+        await until(lambda: "after=6&" in "".join(second.paths))
+        under_way = running.node.discovery.calling
+        running.node.reload()                        # the same address once more: its watch goes on
+        assert running.node.discovery.calling is under_way and not under_way.cancel_called
 
 
 async def test_a_call_that_fails_in_the_tick_in_which_it_is_called_off_is_made_anew(tmp_path):
