--- a/foxstep/node/discovery.py
+++ b/foxstep/node/discovery.py
@@ -8,7 +8,7 @@
 from foxstep.node.http import Broken, connect
 
 SECOND = 1_000_000
-CONNECT_TIMEOUT = 1.0            # seconds
+CONNECT_TIMEOUT = 1.0        # seconds
 DECODER = msgspec.json.Decoder(Listed)
 FAILED = (Broken, OSError, TimeoutError, ConfigError, msgspec.DecodeError, UnicodeError, RecursionError)
 
@@ -76,7 +76,7 @@
     def fetch(self):
         self.whole = True
         self.wanted.set()
-        self.restart_call()                        # one that waits would hold it up
+        self.restart_call()                     # one that waits would hold it up
 
     def move(self, discovery):
         """Discovery has another address now: the list stands, the call under way is made there anew, and one
--- a/foxstep/node/probes.py
+++ b/foxstep/node/probes.py
@@ -7,8 +7,8 @@
 from foxstep.simhost.names import load_of
 
 SECOND = 1_000_000
-WITHIN = 0.5          # seconds until a probe counts as silent
-MAX_CONCURRENT = 16          # probes under way; the next ones wait
+WITHIN = 0.5         # seconds until a probe counts as silent
+MAX_CONCURRENT = 16  # probes under way; the next ones wait
 
 
 class Prober:
--- a/foxstep/node/streams.py
+++ b/foxstep/node/streams.py
@@ -16,13 +16,13 @@
 from foxstep.node.messages import Applied, Collector, Heard, Joined, Ping, Spoilt, Unreadable, Usage
 
 SECOND = 1_000_000
-JOIN_TIMEOUT = 1.2          # seconds in which a stranger has to say who it is
-STRANGER_MAX_BYTES = 16_384     # bytes that a stranger may say before that
-ACCEPT_BATCH = 24        # connections taken before those that stand get their turn to speak
+JOIN_TIMEOUT = 1.2         # seconds in which a stranger has to say who it is
+STRANGER_MAX_BYTES = 16_384  # bytes that a stranger may say before that
+ACCEPT_BATCH = 24          # connections taken before those that stand get their turn to speak
 REST = 0.05                # seconds without accepting where descriptors lack
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-HIGH_WATER = 65_536              # bytes that wait for one reader; beyond, what comes is folded together
-MAX_PENDING_MARKS = 64                 # marks of one stream that may be unanswered; older ones are forgotten
+HIGH_WATER = 65_536        # bytes that wait for one reader; beyond, what comes is folded together
+MAX_PENDING_MARKS = 64     # marks of one stream that may be unanswered; older ones are forgotten
 READ_BUFFER_SIZE = 65_536
 PART = 1 / 16              # of the memory limit, for half-read messages of all connections together
 
