--- a/review/standins/settings.py
+++ b/review/standins/settings.py
@@ -106,3 +106,48 @@
         else:
             settings[name] = value
     return settings
+
+
+# The other deployment of the operators' pages, at its present size.
+INTAKE = changed(
+    ROSTERS,
+    balancers=1,
+    az="hobart",
+    areas=["hobart", "kingston", "sorell"],
+    step=2.0,
+    allowed={"connectTimeout": 300.0, "peers": False, "streamsPerConn": 100},
+    report={"fields": ["waiting", "avg_ms"]},
+    guarantees={"coldShare": 0.3, "fall": 3000.0, "fallMultiple": 3.0},
+    familyInfo={
+        "agents": 9,
+        "backlog": 26600.0,
+        "classOwnZone": [False, False],
+        "classWrites": [False, True],
+        "cycle": 2000.0,
+        "defaultRetry": 0,
+        "egressPerS": 17700.0,
+        "failsToEject": 5,
+        "head": 6.0,
+        "homedByZone": False,
+        "pushDelay": 278.0,
+        "standing": 10,
+        "transitMax": 695.0,
+        "tryAims": 1.2,
+    },
+    services=[
+        {
+            "name": name,
+            "worth": worth,
+            "objective": 1200.0,
+            "deadline": deadline,
+            "effect": effect,
+            "dedupScope": "all",
+            "keyTtl": 5000.0,
+            "lateWorth": 0.1,
+        }
+        for name, worth, deadline, effect in (
+            ("issue-read", 1.0, 4000.0, "read_like"),
+            ("report-ingest", 5.0, 3000.0, "non_idempotent"),
+        )
+    ],
+)
