--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A fifth of the servers, all of one zone, falls silent while an op type keeps to the proxy's zone."""
+"""The controller is cut off from discovery for six seconds, in which two servers drain."""
 
 import asyncio
 import os
@@ -13,122 +13,96 @@
 from world import Proxy, Server, World, play  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# `allowance-pay` keeps to the proxy's zone.
-SETTINGS = changed(ROSTERS, familyInfo={"classOwnZone": [False, False, True]})
-SERVERS = {"kariakoo": 8, "mikocheni": 2}
-PROXIES, RATE = 10, 5.0
-BEFORE_S, SILENT_S, AFTER_S = 10.0, 6.0, 14.0
+SETTINGS = changed(ROSTERS, guarantees={"drainGrace": 1500.0})
+SERVERS, DRAINED, PROXIES, RATE = 12, 2, 10, 9.0
+CUT_AFTER_S, CUT_S = 2.0, 6.0  # after a watch was called
+DRAIN_AFTER_S, DRAIN_S = 2.0, 5.0  # after the cut; time until the server is gone
 SLACK_S = 0.3  # by which the rule's limit is longer on sockets
 
 
 class Check:
-    """The first rule, for each joined proxy and op type, by what it holds and the controller was told."""
+    """The third rule: nothing is sent to a draining server once the grace has passed since that was told."""
 
     def __init__(self, world, ready_at):
         self.world, self.ready_at = world, ready_at
-        self.limit = SETTINGS["familyInfo"]["emptyFor"] / 1000 + SLACK_S
-        self.told = {name: "active" for name in world.servers}
-        self.bare_since, self.broken, self.longest = {}, {}, 0.0
-        world.on_told = self.on_told
+        self.limit = SETTINGS["guarantees"]["drainGrace"] / 1000 + SLACK_S
+        self.told_at = {}  # server -> when the controller was told, or counts as told
+        self.late, self.latest = 0, 0.0
+        world.on_told, world.on_send = self.on_told, self.on_send
 
-    def on_told(self, answer):
-        if answer["snapshot"]:
-            self.told = dict.fromkeys(self.told, "left")
-        self.told.update((e["name"], e["status"]) for e in answer["endpoints"])
+    def on_told(self, answer, at):
+        for entry in answer["endpoints"]:
+            if entry["status"] != "active":
+                self.told_at[entry["name"]] = min(self.told_at.get(entry["name"], at), at)
 
-    def warm_servers(self, proxy, op_type):
-        """Servers that the list shows as active, that are warm (none has started lately) and open to it."""
-        return [
-            name
-            for name, status in self.told.items()
-            if status == "active"
-            and (op_type not in self.world.own_zone or self.world.servers[name].zone == proxy.zone)
-        ]
-
-    def look(self):
+    def on_send(self, proxy, server):
         now = time.monotonic()
-        for proxy in self.world.proxies:
-            for op_type in self.world.classes:
-                key = proxy.number, op_type
-                bare = (
-                    proxy.joined_at is not None
-                    and not proxy.lines(op_type)
-                    and self.warm_servers(proxy, op_type)
-                )
-                if not bare:
-                    self.bare_since.pop(key, None)
-                    continue
-                since = max(self.bare_since.setdefault(key, now), proxy.joined_at, self.ready_at + 1.0)
-                self.longest = max(self.longest, now - since)
-                if now - since > self.limit and key not in self.broken:
-                    self.broken[key] = now - since
-                    self.world.record(
-                        "broken",
-                        proxy=proxy.number,
-                        zone=proxy.zone,
-                        op_type=op_type,
-                        bare_s=f"{now - since:.2f}",
-                        listed_warm=",".join(self.warm_servers(proxy, op_type)),
-                        holds=",".join(proxy.tables[op_type]),
-                    )
-
-    async def run(self):
-        while True:
-            self.look()
-            await asyncio.sleep(0.05)
+        if proxy.joined_at is None or server not in self.told_at:
+            return
+        since = max(self.told_at[server], proxy.joined_at, self.ready_at + 1.0)
+        if now - since > self.limit:
+            self.late += 1
+            self.latest = max(self.latest, now - since)
+            self.world.record("broken", proxy=proxy.number, sent_to=server, after_s=f"{now - since:.2f}")
 
 
 async def main(temporary):
     classes = {"roster-read": 0.38, "visit-checkin": 0.35, "allowance-pay": 0.27}
     work = {"roster-read": 0.25, "visit-checkin": 0.18, "allowance-pay": 0.18}
     world = World(FOLDER, temporary, SETTINGS, classes, work)
-    for zone, number in SERVERS.items():
-        for k in range(number):
-            name = f"s-{zone}-{k}"
-            world.servers[name] = Server(world, name, zone, cores=3)
+    zones = SETTINGS["areas"]
+    for k in range(SERVERS):
+        world.servers[f"s-{k}"] = Server(world, f"s-{k}", zones[k % 2], cores=3)
     await world.start()
     try:
         world.start_controller()
         if not await world.controller_ready():
             return None
         check = Check(world, time.monotonic())
-        zones = SETTINGS["areas"]
         for k in range(PROXIES):
             proxy = Proxy(world, k, zones[k % 2], RATE, k)
-            # Its standing table is drawn in its zone only if three servers are there.
             near = [s for s in world.servers.values() if s.zone == proxy.zone]
-            drawn = near if len(near) >= 3 else list(world.servers.values())
-            proxy.hold(proxy.random.sample(drawn, SETTINGS["familyInfo"]["standing"]))
+            proxy.hold(proxy.random.sample(near, SETTINGS["familyInfo"]["standing"]))
             world.start_proxy(proxy)
-        world.spawn(check.run())
         guard = asyncio.create_task(world.guard_controller())
-        await asyncio.sleep(BEFORE_S)
-        struck = [s for s in world.servers.values() if s.zone == "mikocheni"]
+        await asyncio.sleep(8.0)
+        called_at = world.discovery.watch_called_at
+        while world.discovery.watch_called_at == called_at:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(CUT_AFTER_S)
         if TROUBLE:
-            world.record("trouble", what="silent", servers=",".join(s.name for s in struck))
-            for server in struck:
-                server.answering.clear()
-        await asyncio.sleep(SILENT_S)
+            world.record("trouble", what="cut-off-from-discovery")
+            world.discovery.cut_off()
+        world.spawn(drain(world, [world.servers[f"s-{k}"] for k in range(DRAINED)]))
+        await asyncio.sleep(CUT_S)
         if TROUBLE:
             world.record("trouble-ends")
-            for server in struck:
-                server.answering.set()
-        await asyncio.sleep(AFTER_S)
+            world.discovery.heal()
+        await asyncio.sleep(10.0)
         crashed = guard.done()
         guard.cancel()
         joined = sum(proxy.joined_at is not None for proxy in world.proxies)
         world.record(
-            "end",
-            joined=joined,
-            broken=len(check.broken),
-            longest_s=f"{check.longest:.2f}",
-            limit_s=check.limit,
+            "end", joined=joined, late=check.late, latest_s=f"{check.latest:.2f}", limit_s=check.limit
         )
-        if crashed or joined < PROXIES:
+        if crashed or joined < PROXIES or len(check.told_at) < DRAINED:
             return None
-        return not check.broken
+        return not check.late
     finally:
         await world.stop()
 
 
+async def drain(world, servers):
+    """Drains the servers; some seconds later they are gone."""
+    await asyncio.sleep(DRAIN_AFTER_S)
+    for server in servers:
+        server.status = "leaving"
+    world.discovery.change(*servers)
+    await asyncio.sleep(DRAIN_S)
+    for server in servers:
+        server.status = "left"
+        server.end()
+    world.discovery.change(*servers)
+
+
 play(main)
