--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
 SETTINGS = changed(ROSTERS, guarantees={"drainGrace": 1500.0})
 SERVERS, DRAINED, PROXIES, RATE = 12, 2, 10, 9.0
 CUT_AFTER_S, CUT_S = 2.0, 6.0  # after a watch was called
-DRAIN_AFTER_S, DRAIN_S = 2.0, 5.0  # after the cut; time until the server is gone
+DRAIN_AFTER_S, DRAIN_S = 2.0, 4.5  # after the cut; time until the server is gone
 SLACK_S = 0.3  # by which the rule's limit is longer on sockets
 
 
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -321,8 +321,10 @@
         try:
             async with asyncio.timeout(self.world.op_timeout):
                 await self.send(name, op_type)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
             self.counts["failed"] += 1
+            why = type(error).__name__
+            self.world.record("failed", proxy=self.number, op_type=op_type, sent_to=name, why=why)
             usage[1] += 1
             self.failures[name] = self.failures.get(name, 0) + 1
             if self.failures[name] >= self.world.fails_to_shun:
