--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -132,7 +132,8 @@
         return ",".join(f"{name}={load[name]}" for name in self.world.load_names).encode()
 
     async def serve(self, reader, writer):
-        fresh, lock = True, asyncio.Lock()
+        lock = asyncio.Lock()
+        fresh = bool(self.handshake)  # whether the connection was dialled while that takes long
         self.writers.add(writer)
         try:
             while path := await read_request(reader):
@@ -268,6 +269,15 @@
         for table in self.tables.values():
             table.update((s.name, 1.0) for s in servers)
 
+    async def open_connections(self, servers, number):
+        """Opens connections ahead. One of this stand-in carries a single op at a time, where the settings let
+        `streamsPerConn` of them share one."""
+        for server in servers:
+            host, _, port = server.address.partition(":")
+            idle = self.connections.setdefault(server.name, [])
+            for _ in range(number):
+                idle.append(await asyncio.open_connection(host, int(port)))
+
     def lines(self, op_type):
         """The lines that it may pick for an op type."""
         own = op_type in self.world.own_zone
