--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -19,6 +19,7 @@
 from zlib import crc32
 
 from foxstep.fleet import OpType, Proxy, Server, SlidingWindow
+from foxstep.list_subscription import ListSubscription
 
 SECOND = 1_000_000  # microseconds
 UNLIMITED_RATE = 1_000_000  # ops a second; no proxy reaches this level, so it admits everything
@@ -103,9 +104,7 @@
         self.period_started_at = now - self.period
         self.reports_arrived = False  # in this period
         self.bucket_shift = None  # microseconds that put the reports' arrival into the middle of a bucket
-        self.subscribe_at = now  # when to subscribe to the list again; None: not due
-        self.subscribe_wake_at = None  # for which of these times a wake-up was ordered
-        self.list_failures = 0  # in a row
+        self.list_subscription = ListSubscription(now, site, self.random_fraction)
         self.capacity = None  # ops a second that the servers can do for its proxies; None: not known
         self.usual_rate = 0.0  # ops a second that those proxies usually get, when capacity was last scaled
         self.warm_weight = 0.0  # sum of the open servers' listed weights times their warm fractions
@@ -121,18 +120,21 @@
         self.channel_speed_factor = CHANNEL_SPEED_FRACTION  # of its stated speed, as last estimated
         self.channel_lines_at_mark = 0.0  # lines that waited when the last mark was ordered
 
+    def random_fraction(self):
+        """A pseudo-random number from 0 to below 1, derived from the seed and a counter."""
+        return crc32(b"%d:%d" % (self.seed, next(self.counter))) / 2**32
+
     # -- inputs: they only update the state ------------------------------------------------------------------
 
     def listed(self, now, how, lines):
         if how == "failed":
-            self.list_failures += 1
-            random_part = crc32(b"%d:%d" % (self.seed, next(self.counter))) / 2**32
-            delay = min(
-                self.site.get("ask_within", 8 * SECOND) / 2, SECOND / 2 * 2 ** min(self.list_failures, 6)
-            )
-            self.subscribe_at = now + int(delay * (0.5 + random_part))
+            self.list_subscription.failed(now)
+            return
+        if how == "lost":
+            self.list_subscription.lost(now)
             return
-        self.list_failures *= how == "remembered"
+        if how != "remembered":
+            self.list_subscription.received()
         named = {line[0] for line in lines}
         for ident, zone, kind, cell, state, weight, started in lines:
             server = self.servers.get(ident)
@@ -294,14 +296,7 @@
 
     def decide(self):
         """Yields all orders that are due at the time `now`."""
-        if self.site.get("list_asked") and self.subscribe_at is not None:
-            # There is one subscription. After a failure it is ordered again with backoff and a random delay.
-            if self.now >= self.subscribe_at:
-                self.subscribe_at = None
-                yield ("watch", True)
-            elif self.subscribe_at != self.subscribe_wake_at:
-                self.subscribe_wake_at = self.subscribe_at
-                yield ("wake", self.subscribe_wake_at, "list")
+        yield from self.list_subscription.orders(self.now)
         # A period ends when reports arrive, so that they are acted on at once; without reports, by a timer.
         reports_due = self.period_started_at + self.period - self.cycle // 2
         period_ended = self.now >= (reports_due if self.reports_arrived else self.timer_due)
--- a/foxstep/interface.py
+++ b/foxstep/interface.py
@@ -39,8 +39,9 @@
     def __init__(self, now: int, site: dict[str, Any], seed: int) -> None: ...
 
     def listed(self, now: int, how: str, lines: list[ListedServer]) -> None:
-        """The list of servers. `how` is "changes", "whole", "remembered" (may be stale) or "failed" (the
-        request failed, `lines` is empty)."""
+        """The list of servers. `how` is "changes", "whole", "remembered" (may be stale), "failed" (a request
+        failed) or "lost" (a request failed, and since the last list a change may have been sent that did not
+        arrive); with the last two, `lines` is empty."""
 
     def woken(self, now: int, mark: str) -> None:
         """The time of a "wake" order has come."""
--- a/foxstep/node/discovery.py
+++ b/foxstep/node/discovery.py
@@ -1,5 +1,7 @@
 """Client of the discovery service: keeps the list of servers current by long polling while it is watched."""
 
+from dataclasses import dataclass
+
 import anyio
 import msgspec
 import structlog
@@ -9,6 +11,11 @@
 
 SECOND = 1_000_000  # microseconds
 CONNECT_TIMEOUT_S = 1.0
+RESPONSE_TIMEOUT_S = 1.2  # of a call, beyond the time that discovery may wait for a change
+FULL_LIST_EXTRA_TIMEOUT_S = 1.0
+# Of the grace: an attempt to connect while the network is cut must not delay the next one for long.
+CATCH_UP_CONNECT_FRACTION = 0.2
+MIN_CONNECT_TIMEOUT_S = 0.1
 DECODER = msgspec.json.Decoder(ServerList)
 CALL_ERRORS = (
     HttpConnectionError,
@@ -21,6 +28,26 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class PollEnd:
+    """Why a series of calls ended.
+
+    `failure` is the reason if a call failed, "" if the list is no longer wanted. `changes_lost` says that
+    discovery may have sent changes that did not arrive."""
+
+    failure: str = ""
+    changes_lost: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A complete answer of discovery. `is_full_list`: the full list was requested, not changes."""
+
+    is_full_list: bool
+    status: int
+    body: bytes
+
+
 class DiscoveryClient:
     """Watches discovery's list of servers and reports it to the host.
 
@@ -37,12 +64,16 @@
         self.watching = False
         self.call_scope = None  # the cancel scope of the calls under way
         self.full_list_requested = False  # the next call asks for the full list
+        # Whether a call since the last accepted list ended without a complete and valid answer: changes that
+        # discovery sent in it may be lost. Until a list is accepted, calls do not wait for a change.
+        self.changes_lost = False
         self.outdated_since = None  # since when discovery has been answering with an older list than ours
         # Seconds that a long poll may wait for a change. It is short compared with `ask_within`, the time
         # after which a change of the list counts as known to the controller, so that a watch that has gone
         # silent is noticed in time. It is not shorter because each call costs discovery work.
         self.poll_wait_s = min(max(host.site.get("ask_within", 8 * SECOND) / SECOND / 2, 1.0), 20.0)
-        self.response_timeout_s = 1.2  # seconds after the long poll's wait until the call counts as failed
+        part_of_grace_s = CATCH_UP_CONNECT_FRACTION * host.site["grace"] / SECOND
+        self.catch_up_connect_timeout_s = min(max(part_of_grace_s, MIN_CONNECT_TIMEOUT_S), CONNECT_TIMEOUT_S)
         self.renumbering_timeout_us = host.site.get("ask_within", 8 * SECOND)
         host.watch = self.set_watching
         host.fetch = self.request_full_list
@@ -109,6 +140,7 @@
     def restart_call(self):
         """Cancels and repeats the call under way; without one, starts a call if the list is watched."""
         if self.call_scope:
+            self.changes_lost = True  # an answer may be on its way
             self.call_scope.cancel()
         elif self.watching:
             self.call_requested.set()
@@ -118,58 +150,79 @@
         while True:
             await self.call_requested.wait()
             self.call_requested = anyio.Event()
-            reason = None
-            while reason is None:
+            end = None
+            while end is None:
                 with anyio.CancelScope() as self.call_scope:
-                    reason = await self.poll()
+                    end = await self.poll()
                 if self.call_scope.cancel_called:  # also if the call ended in the same tick
-                    reason = None
+                    end = None
             self.call_scope = None
-            if reason:
-                self.log.warning("list failed", why=reason)
-                self.host.listed("failed", [])
+            if end.failure:
+                self.log.warning("list failed", why=end.failure, changes_lost=end.changes_lost)
+                self.host.listed("lost" if end.changes_lost else "failed", [])
 
     async def poll(self):
-        """Makes calls one after another on one connection. Returns why a call failed, or "" once the list is
-        no longer wanted."""
+        """Makes calls one after another on one connection until one fails or the list is no longer wanted;
+        returns a PollEnd."""
         connection = None
+        is_unanswered = False  # a call was made, and no valid answer to it has arrived
         initial = True  # the host waits for this answer, even if nothing has changed
         try:
             while self.watching or self.full_list_requested:
                 if reused := connection is not None and connection.is_open:
                     connection.response_started = False
                 else:
-                    with anyio.fail_after(CONNECT_TIMEOUT_S):
-                        connection = await connect(parse_address(self.address, "discovery"))
-                full = self.full_list_requested or self.index is None
-                path = (
-                    "/v1/servers"
-                    if full
-                    else (f"/v1/servers?after={self.index}&wait_ms={round(self.poll_wait_s * 1000)}")
-                )
+                    connection = await self.connect()
+                is_unanswered = True
                 try:
-                    with anyio.fail_after((0 if full else self.poll_wait_s) + self.response_timeout_s + full):
-                        status, body = await connection.get(path, self.address)
+                    answer = await self.call(connection)
                 except HttpConnectionError:
                     # A reused connection that closes between two calls, or before any byte of the answer,
                     # says nothing about discovery itself: retry on a new connection.
                     if reused and not connection.response_started:
+                        self.changes_lost = True
                         continue
                     raise
-                if status != 200:
-                    return f"discovery answered with HTTP status {status}"
-                server_list = DECODER.decode(body)
+                if answer.status != 200:
+                    return PollEnd(f"discovery answered with HTTP status {answer.status}")
+                server_list = DECODER.decode(answer.body)
                 if reason := self.reason_to_reject(server_list):
-                    return reason
+                    return PollEnd(reason)
                 lines = self.apply(server_list)
+                is_unanswered = False
                 self.index = server_list.index
-                self.full_list_requested = self.full_list_requested and not full
+                if self.changes_lost:
+                    self.changes_lost = False
+                    self.log.info("list current again", index=self.index, changed=len(lines))
+                self.full_list_requested = self.full_list_requested and not answer.is_full_list
                 if lines or initial or server_list.snapshot:
                     self.host.listed("whole" if server_list.snapshot else "changes", lines)
                 initial = False
-            return ""
+            return PollEnd()
         except CALL_ERRORS as error:
-            return f"{type(error).__name__}: {error}"[:200]
+            self.changes_lost = self.changes_lost or is_unanswered
+            return PollEnd(f"{type(error).__name__}: {error}"[:200], self.changes_lost)
         finally:
             if connection:
                 connection.close()
+
+    async def connect(self):
+        """Opens a connection to discovery. Raises OSError or TimeoutError."""
+        timeout_s = self.catch_up_connect_timeout_s if self.changes_lost else CONNECT_TIMEOUT_S
+        with anyio.fail_after(timeout_s):
+            return await connect(parse_address(self.address, "discovery"))
+
+    async def call(self, connection):
+        """Requests the full list, or the changes since the accepted one; returns the Answer. Raises
+        HttpConnectionError or TimeoutError."""
+        wait_s = 0 if self.changes_lost else self.poll_wait_s
+        is_full_list = self.full_list_requested or self.index is None
+        if is_full_list:
+            path = "/v1/servers"
+            timeout_s = RESPONSE_TIMEOUT_S + FULL_LIST_EXTRA_TIMEOUT_S
+        else:
+            path = f"/v1/servers?after={self.index}&wait_ms={round(wait_s * 1000)}"
+            timeout_s = RESPONSE_TIMEOUT_S + wait_s
+        with anyio.fail_after(timeout_s):
+            status, body = await connection.get(path, self.address)
+        return Answer(is_full_list, status, body)
