--- a/foxstep/xds/listing.py
+++ b/foxstep/xds/listing.py
@@ -86,6 +86,9 @@
         self.cluster = cluster
         self.node = resources.node(me, host.site["zone"])
         self.requested = anyio.Event()
+        # Whether a subscription that had delivered a list has ended since the last accepted list: changes
+        # that the service sent in it may be lost.
+        self.changes_lost = False
         self.log = structlog.get_logger("foxstep.list")
         host.watch, host.fetch = self.watch, self.fetch
 
@@ -116,8 +119,8 @@
                     if not is_stray_cancellation():
                         raise
                     reason = "the call was cancelled"
-                self.log.warning("list failed", reason=reason)
-                self.host.listed("failed", [])
+                self.log.warning("list failed", reason=reason, changes_lost=self.changes_lost)
+                self.host.listed("lost" if self.changes_lost else "failed", [])
 
     async def follow(self, channel):
         """Runs one subscription until it fails; returns or raises the reason."""
@@ -126,6 +129,7 @@
         request = discovery_pb2.DiscoveryRequest(
             node=self.node, resource_names=[self.cluster], type_url=resources.ASSIGNMENT_TYPE
         )
+        accepted = False
         try:
             timeout_s = self.host.site["ask_within"] / SECOND_US / 2
             await with_timeout(timeout_s, call.write(request))
@@ -140,6 +144,8 @@
                     entries = read_list(response, self.cluster, self.host.wall_offset)
                     request.version_info = response.version_info
                     self.host.listed("whole", entries)
+                    accepted = True
+                    self.changes_lost = False
                 except InvalidList as error:
                     request.error_detail.message = str(error)
                     self.log.warning("list refused", reason=str(error))
@@ -147,4 +153,5 @@
                 response = await call.read()
             return "ended by the service"
         finally:
+            self.changes_lost = self.changes_lost or accepted
             call.cancel()
