--- a/foxstep/node/discovery.py
+++ b/foxstep/node/discovery.py
@@ -28,6 +28,10 @@
 )
 
 
+class RefusedError(Exception):
+    """Discovery refused a call, or answered with a list that is rejected."""
+
+
 @dataclass(frozen=True, slots=True)
 class PollEnd:
     """Why a series of calls ended.
@@ -183,22 +187,12 @@
                         self.changes_lost = True
                         continue
                     raise
-                if answer.status != 200:
-                    return PollEnd(f"discovery answered with HTTP status {answer.status}")
-                server_list = DECODER.decode(answer.body)
-                if reason := self.reason_to_reject(server_list):
-                    return PollEnd(reason)
-                lines = self.apply(server_list)
+                self.accept(answer, initial)
                 is_unanswered = False
-                self.index = server_list.index
-                if self.changes_lost:
-                    self.changes_lost = False
-                    self.log.info("list current again", index=self.index, changed=len(lines))
-                self.full_list_requested = self.full_list_requested and not answer.is_full_list
-                if lines or initial or server_list.snapshot:
-                    self.host.listed("whole" if server_list.snapshot else "changes", lines)
                 initial = False
             return PollEnd()
+        except RefusedError as error:
+            return PollEnd(str(error))
         except CALL_ERRORS as error:
             self.changes_lost = self.changes_lost or is_unanswered
             return PollEnd(f"{type(error).__name__}: {error}"[:200], self.changes_lost)
@@ -206,6 +200,23 @@
             if connection:
                 connection.close()
 
+    def accept(self, answer, initial):
+        """Applies an answer and reports its list to the host, an empty one only if it is the initial answer.
+        Raises RefusedError, ConfigError, or an error of decoding."""
+        if answer.status != 200:
+            raise RefusedError(f"discovery answered with HTTP status {answer.status}")
+        server_list = DECODER.decode(answer.body)
+        if reason := self.reason_to_reject(server_list):
+            raise RefusedError(reason)
+        lines = self.apply(server_list)
+        self.index = server_list.index
+        if self.changes_lost:
+            self.changes_lost = False
+            self.log.info("list current again", index=self.index, changed=len(lines))
+        self.full_list_requested = self.full_list_requested and not answer.is_full_list
+        if lines or initial or server_list.snapshot:
+            self.host.listed("whole" if server_list.snapshot else "changes", lines)
+
     async def connect(self):
         """Opens a connection to discovery. Raises OSError or TimeoutError."""
         timeout_s = self.catch_up_connect_timeout_s if self.changes_lost else CONNECT_TIMEOUT_S
