--- a/foxstep/node/discovery.py
+++ b/foxstep/node/discovery.py
@@ -131,7 +131,6 @@
     def request_full_list(self):
         """Asks for the full list at once."""
         self.full_list_requested = True
-        self.call_requested.set()
         self.restart_call()  # a long poll under way would delay the request
 
     def set_address(self, discovery):
@@ -142,11 +141,12 @@
             self.restart_call()
 
     def restart_call(self):
-        """Cancels and repeats the call under way; without one, starts a call if the list is watched."""
+        """Cancels and repeats the call under way, or wakes the loop if there is none; it calls if the list is
+        wanted."""
         if self.call_scope:
             self.changes_lost = True  # an answer may be on its way
             self.call_scope.cancel()
-        elif self.watching:
+        else:
             self.call_requested.set()
 
     async def run(self):
--- a/tests/test_node_races.py
+++ b/tests/test_node_races.py
@@ -379,6 +379,40 @@
         assert not FAILED_KINDS & set(kinds)
 
 
+async def test_full_list_requested_during_a_call_keeps_the_delay_after_a_failure(tmp_path):
+    # Guards against a request that cancels the call under way and also wakes the loop: when the repeated call
+    # failed, the next one followed at once.
+    discovery = FakeDiscovery(A)
+    async with run_node(tmp_path, discovery, known=[A]) as running:
+        client, woken, listed = running.node.discovery, [], running.host.listed
+        await until(lambda: "after=5&" in "".join(discovery.paths))  # this long poll is waiting
+        discovery.failure = "503"
+        running.host.listed = lambda kind, lines: (
+            woken.append(client.call_requested.is_set()),
+            listed(kind, lines),
+        )
+        client.request_full_list()
+        await until(lambda: woken)
+        assert woken[0] is False and discovery.paths[-1] == "/v1/servers"
+        discovery.failure = None
+        discovery.replace(9, endpoint(A), endpoint(B))
+        await until(lambda: B in running.host.listed_lines)
+        assert discovery.paths.count("/v1/servers") == 2
+
+
+async def test_full_list_is_requested_at_once_while_no_call_is_under_way(tmp_path):
+    discovery = FakeDiscovery(A)
+    discovery.failure, discovery.fail_once = "503", True
+    async with run_node(tmp_path, discovery, known=[A]) as running:
+        client = running.node.discovery
+        await until(lambda: discovery.paths)
+        running.host.controller.list_subscription.due_at = running.host.clock() + 10**9
+        await until(lambda: client.call_scope is None)
+        client.request_full_list()
+        await until(lambda: client.index == 5)
+        assert discovery.paths[1] == "/v1/servers"
+
+
 async def test_server_that_left_returns_as_a_new_process(tmp_path):
     discovery = FakeDiscovery(A, B)
     async with run_node(tmp_path, discovery, known=[A, B]) as running:
