--- a/foxstep/xds/listing.py
+++ b/foxstep/xds/listing.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 
 import anyio
 import grpc
@@ -26,13 +27,9 @@
     """A server list that is invalid; the text says why."""
 
 
-def read_list(response, cluster, wall_offset):
-    """Returns the list in a DiscoveryResponse as `interface.ListedServer` entries, start times on the host's
-    clock.
-
-    `wall_offset`: wall clock minus host clock, in microseconds. Raises InvalidList for an invalid list:
-    a list is used whole or not at all, and one without any server is handled like a failed call.
-    """
+def find_assignment(response, cluster):
+    """The assignment of that cluster in a DiscoveryResponse. Raises InvalidList if there is none, or another
+    kind of resource."""
     assignment = None
     for resource in response.resources:
         message = endpoint_pb2.ClusterLoadAssignment()
@@ -42,33 +39,66 @@
             assignment = message
     if assignment is None:
         raise InvalidList(f"no assignment named {cluster}")
+    return assignment
+
+
+def read_address(endpoint):
+    """The server's id, its address with the port, or None if there is no valid one."""
+    address = endpoint.endpoint.address.socket_address
+    if not address.address or not 0 < address.port_value < 65536:
+        return None
+    host = f"[{address.address}]" if ":" in address.address else address.address
+    return f"{host}:{address.port_value}"
+
+
+@dataclass(frozen=True, slots=True)
+class Metadata:
+    """What an endpoint's metadata says of its server. `started_at`: on the host's clock, 0 for long ago."""
+
+    kind: str
+    cell: int
+    size: float
+    started_at: int
+
+
+def read_metadata(endpoint, ident, wall_offset):
+    """The Metadata of an endpoint. Raises InvalidList."""
+    metadata = endpoint.metadata.filter_metadata.get("foxstep")
+    metadata = {} if metadata is None else dict(metadata)
+    try:
+        cell = int(metadata.get("cell", 0))
+        started = float(metadata.get("started", 0))
+        size = float(metadata.get("size", 1))
+        started_at = max(round(started * SECOND_US) - wall_offset, 1) if started else 0
+    except (TypeError, ValueError, OverflowError):
+        raise InvalidList(f"{ident}: cell, size and started are numbers") from None
+    return Metadata(str(metadata.get("kind", "")), cell, size, started_at)
+
+
+def read_list(response, cluster, wall_offset):
+    """Returns the list in a DiscoveryResponse as `interface.ListedServer` entries, start times on the host's
+    clock.
+
+    `wall_offset`: wall clock minus host clock, in microseconds. Raises InvalidList for an invalid list:
+    a list is used whole or not at all, and one without any server is handled like a failed call.
+    """
     entries = {}
-    for group in assignment.endpoints:
+    for group in find_assignment(response, cluster).endpoints:
         for endpoint in group.lb_endpoints:
-            address = endpoint.endpoint.address.socket_address
-            if not address.address or not 0 < address.port_value < 65536:
+            ident = read_address(endpoint)
+            if ident is None:
                 raise InvalidList(f"entry {len(entries)} without an address")
-            host = f"[{address.address}]" if ":" in address.address else address.address
-            ident = f"{host}:{address.port_value}"
             if ident in entries:
                 raise InvalidList(f"{ident} listed twice")
-            metadata = endpoint.metadata.filter_metadata.get("foxstep")
-            metadata = {} if metadata is None else dict(metadata)
-            try:
-                cell, started = int(metadata.get("cell", 0)), float(metadata.get("started", 0))
-                size = float(metadata.get("size", 1))
-                started_at = max(round(started * SECOND_US) - wall_offset, 1) if started else 0
-            except (TypeError, ValueError, OverflowError):
-                raise InvalidList(f"{ident}: cell, size and started are numbers") from None
-            state = "draining" if endpoint.health_status in DRAINING_STATUSES else "open"
+            metadata = read_metadata(endpoint, ident, wall_offset)
             entries[ident] = (
                 ident,
                 group.locality.zone,
-                str(metadata.get("kind", "")),
-                cell,
-                state,
-                size,
-                started_at,
+                metadata.kind,
+                metadata.cell,
+                "draining" if endpoint.health_status in DRAINING_STATUSES else "open",
+                metadata.size,
+                metadata.started_at,
             )
             if len(entries) > MAX_SERVERS:
                 raise InvalidList(f"over {MAX_SERVERS} servers")
