--- a/foxstep/node/discovery.py
+++ b/foxstep/node/discovery.py
@@ -13,7 +13,8 @@
 CONNECT_TIMEOUT_S = 1.0
 RESPONSE_TIMEOUT_S = 1.2  # of a call, beyond the time that discovery may wait for a change
 FULL_LIST_EXTRA_TIMEOUT_S = 1.0
-# Of the grace: an attempt to connect while the network is cut must not delay the next one for long.
+# Of the grace, or of the time since changes may have been lost if that is longer: an attempt to connect while
+# the network is cut must not delay the next one for long.
 CATCH_UP_CONNECT_FRACTION = 0.2
 MIN_CONNECT_TIMEOUT_S = 0.1
 DECODER = msgspec.json.Decoder(ServerList)
@@ -68,16 +69,18 @@
         self.watching = False
         self.call_scope = None  # the cancel scope of the calls under way
         self.full_list_requested = False  # the next call asks for the full list
-        # Whether a call since the last accepted list ended without a complete and valid answer: changes that
-        # discovery sent in it may be lost. Until a list is accepted, calls do not wait for a change.
-        self.changes_lost = False
+        # When a call first ended without a complete and valid answer since the last accepted list, on the
+        # host's clock: changes that discovery sent in it may be lost. None: no call has. Until a list is
+        # accepted, calls do not wait for a change.
+        self.changes_lost_at = None
         self.outdated_since = None  # since when discovery has been answering with an older list than ours
         # Seconds that a long poll may wait for a change. It is short compared with `ask_within`, the time
         # after which a change of the list counts as known to the controller, so that a watch that has gone
         # silent is noticed in time. It is not shorter because each call costs discovery work.
         self.poll_wait_s = min(max(host.site.get("ask_within", 8 * SECOND) / SECOND / 2, 1.0), 20.0)
-        part_of_grace_s = CATCH_UP_CONNECT_FRACTION * host.site["grace"] / SECOND
-        self.catch_up_connect_timeout_s = min(max(part_of_grace_s, MIN_CONNECT_TIMEOUT_S), CONNECT_TIMEOUT_S)
+        # In seconds, of a call that does not wait for a change. Doubled with each one until a list is
+        # accepted, so that a slow answer is waited for in the end; at most the time-out of a watch.
+        self.catch_up_timeout_s = RESPONSE_TIMEOUT_S
         self.renumbering_timeout_us = host.site.get("ask_within", 8 * SECOND)
         host.watch = self.set_watching
         host.fetch = self.request_full_list
@@ -122,6 +125,16 @@
         self.full_list_requested = True
         return f"the index of the list went back from {self.index} to {server_list.index}"
 
+    @property
+    def changes_lost(self):
+        """Whether discovery may have sent changes since the last accepted list that did not arrive."""
+        return self.changes_lost_at is not None
+
+    def record_lost_changes(self):
+        """Notes that changes may be lost from now on, or still are."""
+        if self.changes_lost_at is None:
+            self.changes_lost_at = self.host.clock()
+
     def set_watching(self, on):
         """Starts the watch, or ends it after the call under way."""
         self.watching = on
@@ -144,7 +157,7 @@
         """Cancels and repeats the call under way, or wakes the loop if there is none; it calls if the list is
         wanted."""
         if self.call_scope:
-            self.changes_lost = True  # an answer may be on its way
+            self.record_lost_changes()  # an answer may be on its way
             self.call_scope.cancel()
         else:
             self.call_requested.set()
@@ -184,7 +197,7 @@
                     # A reused connection that closes between two calls, or before any byte of the answer,
                     # says nothing about discovery itself: retry on a new connection.
                     if reused and not connection.response_started:
-                        self.changes_lost = True
+                        self.record_lost_changes()
                         continue
                     raise
                 self.accept(answer, initial)
@@ -194,7 +207,8 @@
         except RefusedError as error:
             return PollEnd(str(error))
         except CALL_ERRORS as error:
-            self.changes_lost = self.changes_lost or is_unanswered
+            if is_unanswered:
+                self.record_lost_changes()
             return PollEnd(f"{type(error).__name__}: {error}"[:200], self.changes_lost)
         finally:
             if connection:
@@ -210,30 +224,45 @@
             raise RefusedError(reason)
         lines = self.apply(server_list)
         self.index = server_list.index
+        self.catch_up_timeout_s = RESPONSE_TIMEOUT_S
         if self.changes_lost:
-            self.changes_lost = False
+            self.changes_lost_at = None
             self.log.info("list current again", index=self.index, changed=len(lines))
         self.full_list_requested = self.full_list_requested and not answer.is_full_list
         if lines or initial or server_list.snapshot:
             self.host.listed("whole" if server_list.snapshot else "changes", lines)
 
+    def connect_timeout_s(self):
+        """Seconds after which connecting is given up."""
+        if not self.changes_lost:
+            return CONNECT_TIMEOUT_S
+        unknown_time_us = max(self.host.site["grace"], self.host.clock() - self.changes_lost_at)
+        timeout_s = CATCH_UP_CONNECT_FRACTION * unknown_time_us / SECOND
+        return min(max(timeout_s, MIN_CONNECT_TIMEOUT_S), CONNECT_TIMEOUT_S)
+
     async def connect(self):
         """Opens a connection to discovery. Raises OSError or TimeoutError."""
-        timeout_s = self.catch_up_connect_timeout_s if self.changes_lost else CONNECT_TIMEOUT_S
-        with anyio.fail_after(timeout_s):
+        with anyio.fail_after(self.connect_timeout_s()):
             return await connect(parse_address(self.address, "discovery"))
 
     async def call(self, connection):
         """Requests the full list, or the changes since the accepted one; returns the Answer. Raises
         HttpConnectionError or TimeoutError."""
-        wait_s = 0 if self.changes_lost else self.poll_wait_s
         is_full_list = self.full_list_requested or self.index is None
         if is_full_list:
             path = "/v1/servers"
             timeout_s = RESPONSE_TIMEOUT_S + FULL_LIST_EXTRA_TIMEOUT_S
+        elif self.changes_lost:
+            path = self.changes_path(wait_s=0)
+            timeout_s = self.catch_up_timeout_s
+            self.catch_up_timeout_s = min(2 * timeout_s, self.poll_wait_s + RESPONSE_TIMEOUT_S)
         else:
-            path = f"/v1/servers?after={self.index}&wait_ms={round(wait_s * 1000)}"
-            timeout_s = RESPONSE_TIMEOUT_S + wait_s
+            path = self.changes_path(self.poll_wait_s)
+            timeout_s = self.poll_wait_s + RESPONSE_TIMEOUT_S
         with anyio.fail_after(timeout_s):
             status, body = await connection.get(path, self.address)
         return Answer(is_full_list, status, body)
+
+    def changes_path(self, wait_s):
+        """The path that requests the changes since the accepted list, and waits so many seconds for one."""
+        return f"/v1/servers?after={self.index}&wait_ms={round(wait_s * 1000)}"
--- a/tests/node.py
+++ b/tests/node.py
@@ -85,6 +85,7 @@
         self.failure = None
         self.paths = []
         self.fail_once = False
+        self.delay = 0.0  # seconds by which each answer is late
         self.healed = None  # the event that ends a cut of the network
         self.cut_connections = 0  # opened while the network was cut
         self.changed = asyncio.Event()
@@ -155,6 +156,7 @@
                         pass
                 if self.healed:
                     await asyncio.sleep(60)
+                await asyncio.sleep(self.delay)
                 body = json.dumps(
                     {
                         "index": self.index,
