--- a/foxstep/live/desired_state.py
+++ b/foxstep/live/desired_state.py
@@ -192,8 +192,18 @@
         for proxy in self.proxies_of(table):
             emptied = Message(proxy, now, self.head)
             emptied.emptied[table] = None
+            # A proxy drops all levels of an emptied table's op types, so those for all tables are sent again.
+            emptied.levels.update(self.common_levels(proxy, table))
             self.batch_message(proxy, now).merge(emptied)
 
+    def common_levels(self, proxy, table):
+        """The levels that apply to all proxies, of the op types that the proxy has bound to the table."""
+        return {
+            (EVERYONE, index): level
+            for index, level in self.levels.get(EVERYONE, {}).items()
+            if self.bindings[proxy][index] == table
+        }
+
     def admit(self, now, table, mask, quota, tries):
         indexes = self.op_type_indexes(mask)
         for index in indexes:
--- a/tests/test_node_messages.py
+++ b/tests/test_node_messages.py
@@ -147,6 +147,16 @@
     check(batches, folded=False)
 
 
+def test_server_let_back_in_the_batch_of_a_full_table_is_picked_again():
+    """An update with `whole` does not let withdrawn servers back: the proxy has to be told of each."""
+    batches = [
+        [("bind", 7, 1, 0), ("weigh", 1, SERVERS[0], 0.25), ("withdraw", SERVERS[0], True)],
+        [("withdraw", SERVERS[0], False), ("bind", 7, 1, 0)],
+    ]
+    check = test_proxy_that_applies_all_updates_holds_what_was_ordered.hypothesis.inner_test
+    check(batches, folded=False)
+
+
 def test_long_table_is_split_into_parts_within_the_limits():
     desired = DesiredState(1, 4)
     desired.join(7)
