--- a/foxstep/node/discovery.py
+++ b/foxstep/node/discovery.py
@@ -78,8 +78,8 @@
         # after which a change of the list counts as known to the controller, so that a watch that has gone
         # silent is noticed in time. It is not shorter because each call costs discovery work.
         self.poll_wait_s = min(max(host.site.get("ask_within", 8 * SECOND) / SECOND / 2, 1.0), 20.0)
-        # In seconds, of a call that does not wait for a change. Doubled with each one until a list is
-        # accepted, so that a slow answer is waited for in the end; at most the time-out of a watch.
+        # In seconds, of a call that does not wait for a change. Doubled with each one that times out until a
+        # list is accepted, so that a slow answer is waited for in the end; at most the time-out of a watch.
         self.catch_up_timeout_s = RESPONSE_TIMEOUT_S
         self.renumbering_timeout_us = host.site.get("ask_within", 8 * SECOND)
         host.watch = self.set_watching
@@ -255,12 +255,16 @@
         elif self.changes_lost:
             path = self.changes_path(wait_s=0)
             timeout_s = self.catch_up_timeout_s
-            self.catch_up_timeout_s = min(2 * timeout_s, self.poll_wait_s + RESPONSE_TIMEOUT_S)
         else:
             path = self.changes_path(self.poll_wait_s)
             timeout_s = self.poll_wait_s + RESPONSE_TIMEOUT_S
-        with anyio.fail_after(timeout_s):
-            status, body = await connection.get(path, self.address)
+        try:
+            with anyio.fail_after(timeout_s):
+                status, body = await connection.get(path, self.address)
+        except TimeoutError:
+            if self.changes_lost:
+                self.catch_up_timeout_s = min(2 * timeout_s, self.poll_wait_s + RESPONSE_TIMEOUT_S)
+            raise
         return Answer(is_full_list, status, body)
 
     def changes_path(self, wait_s):
--- a/tests/test_node_races.py
+++ b/tests/test_node_races.py
@@ -315,6 +315,18 @@
         assert kinds.count("lost") == 2  # the first call that was answered late was given up
 
 
+async def test_calls_that_are_reset_do_not_lengthen_the_wait_for_an_answer(tmp_path):
+    # Guards against a lost answer that is noticed seconds late because calls before it were reset.
+    discovery, settings = FakeDiscovery(A), settings_with(askWithin=2000.0)
+    discovery.failure = "reset"
+    async with run_node(tmp_path, discovery, known=[A], settings=settings) as running:
+        client, kinds = running.node.discovery, record_list_kinds(running)
+        await until(lambda: kinds.count("lost") >= 4)
+        assert client.catch_up_timeout_s == RESPONSE_TIMEOUT_S
+        discovery.failure = "silent"
+        await until(lambda: client.catch_up_timeout_s > RESPONSE_TIMEOUT_S)
+
+
 async def test_refusal_after_lost_changes_is_not_an_answer(tmp_path):
     # Guards against a refused call that ends the haste although the lost changes are still unknown.
     discovery, settings = FakeDiscovery(A), settings_with(askWithin=2000.0)
