--- a/foxstep/commands/drill_report.py
+++ b/foxstep/commands/drill_report.py
@@ -1,6 +1,6 @@
 """Prints the results of a drill: the rules, bounds and estimates that its audit checks, and the service.
 
-Each function prints one part and returns whether what it shows is as it should be.
+Each function prints one part; all but `show_service` return whether what they show is as it should be.
 """
 
 import click
