--- a/tests/live.py
+++ b/tests/live.py
@@ -43,6 +43,22 @@
 SERVERS = [f"127.0.0.1:{7000 + k}" for k in range(6)]
 
 
+@asynccontextmanager
+async def serve_grpc(server):
+    """The port of a grpc.aio server that runs in this context.
+
+    It is stopped also when the test fails: a server that is never stopped makes grpcio wait without end when
+    it frees its last object, in whichever test comes next.
+    """
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    try:
+        yield port
+    finally:
+        with anyio.CancelScope(shield=True):
+            await server.stop(None)
+
+
 @asynccontextmanager
 async def controller(port=0, directory=None, make=Controller, reading=0.4, **changes):
     """(host, address) of a running controller; `changes` override the example site's settings."""
