--- a/foxstep/live/desired_state.py
+++ b/foxstep/live/desired_state.py
@@ -161,7 +161,7 @@
         message = self.batch[proxy]
         if proxy in self.unaddressed:  # its first message also carries the levels that apply to all proxies
             del self.unaddressed[proxy]
-            message.levels.update(((EVERYONE, k), v) for k, v in self.levels.get(EVERYONE, {}).items())
+            message.levels.update(self.common_levels())
         return message
 
     def proxies_of(self, table):
@@ -193,16 +193,16 @@
             emptied = Message(proxy, now, self.head)
             emptied.emptied[table] = None
             # A proxy drops all levels of an emptied table's op types, so those for all tables are sent again.
-            emptied.levels.update(self.common_levels(proxy, table))
+            emptied.levels = {
+                (everyone, index): level
+                for (everyone, index), level in self.common_levels().items()
+                if self.bindings[proxy][index] == table
+            }
             self.batch_message(proxy, now).merge(emptied)
 
-    def common_levels(self, proxy, table):
-        """The levels that apply to all proxies, of the op types that the proxy has bound to the table."""
-        return {
-            (EVERYONE, index): level
-            for index, level in self.levels.get(EVERYONE, {}).items()
-            if self.bindings[proxy][index] == table
-        }
+    def common_levels(self):
+        """The levels that apply to all proxies: (EVERYONE, op type index) -> (quota, tries)."""
+        return {(EVERYONE, index): level for index, level in self.levels.get(EVERYONE, {}).items()}
 
     def admit(self, now, table, mask, quota, tries):
         indexes = self.op_type_indexes(mask)
@@ -253,9 +253,14 @@
                 ((table, k), level) for k, level in self.levels.get(table, {}).items() if tables[k] == table
             )
             message.withdrawn.update((s, True) for s in self.withdrawn if s in self.lines.get(table, {}))
+        # A proxy keeps its withdrawn servers when a full table arrives: it has to be told of each that is not
+        # withdrawn any more, or that this table no longer contains.
+        told = {**self.holdings[proxy].withdrawn, **self.withdrawn_by_proxy[proxy]}
+        let_back = {server: False for server in told if server not in message.withdrawn}
         self.withdrawn_by_proxy[proxy] = dict(message.withdrawn)
+        message.withdrawn.update(let_back)
         self.unaddressed.pop(proxy, None)
-        message.levels.update(((EVERYONE, k), level) for k, level in self.levels.get(EVERYONE, {}).items())
+        message.levels.update(self.common_levels())
         return message
 
     def mark(self, now, number, all_proxies):
--- a/tests/test_node_messages.py
+++ b/tests/test_node_messages.py
@@ -157,6 +157,17 @@
     check(batches, folded=False)
 
 
+def test_server_withdrawn_while_it_leaves_a_table_is_picked_again_once_it_is_back():
+    """A full table without a withdrawn server forgot that the proxy holds the withdrawal."""
+    batches = [
+        [("bind", 7, 1, 0), ("weigh", 1, SERVERS[0], 0.25), ("withdraw", SERVERS[0], True)],
+        [("weigh", 1, SERVERS[0], 0), ("bind", 7, 1, 0)],
+        [("withdraw", SERVERS[0], False), ("weigh", 1, SERVERS[0], 0.25)],
+    ]
+    check = test_proxy_that_applies_all_updates_holds_what_was_ordered.hypothesis.inner_test
+    check(batches, folded=False)
+
+
 def test_long_table_is_split_into_parts_within_the_limits():
     desired = DesiredState(1, 4)
     desired.join(7)
