--- a/foxstep/node/discovery.py
+++ b/foxstep/node/discovery.py
@@ -1,6 +1,7 @@
 """Client of the discovery service: keeps the list of servers current by long polling while it is watched."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 import anyio
 import msgspec
@@ -17,6 +18,7 @@
 # the network is cut must not delay the next one for long.
 CATCH_UP_CONNECT_FRACTION = 0.2
 MIN_CONNECT_TIMEOUT_S = 0.1
+MAX_REASON_LENGTH = 200  # characters of an error's text in the log
 DECODER = msgspec.json.Decoder(ServerList)
 CALL_ERRORS = (
     HttpConnectionError,
@@ -33,15 +35,19 @@
     """Discovery refused a call, or answered with a list that is rejected."""
 
 
+class FailureKind(Enum):
+    """The kind of a failed call, as the host knows it (`interface.DecisionModule.listed`)."""
+
+    FAILED = "failed"  # refused, or no call was made: nothing was lost by it
+    LOST = "lost"  # changes that discovery sent since the last accepted list may not have arrived
+
+
 @dataclass(frozen=True, slots=True)
 class PollEnd:
-    """Why a series of calls ended.
-
-    `failure` is the reason if a call failed, "" if the list is no longer wanted. `changes_lost` says that
-    discovery may have sent changes that did not arrive."""
+    """Why a series of calls ended. `kind` is None if no call failed: the list is no longer wanted."""
 
-    failure: str = ""
-    changes_lost: bool = False
+    reason: str = ""
+    kind: FailureKind | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,9 +180,18 @@
                 if self.call_scope.cancel_called:  # also if the call ended in the same tick
                     end = None
             self.call_scope = None
-            if end.failure:
-                self.log.warning("list failed", why=end.failure, changes_lost=end.changes_lost)
-                self.host.listed("lost" if end.changes_lost else "failed", [])
+            if end.kind:
+                self.report_failure(end)
+
+    def report_failure(self, end):
+        """Logs a failed call, and reports it to the host."""
+        self.log.warning(
+            "list failed",
+            why=end.reason,
+            kind=end.kind.value,
+            changes_lost=self.changes_lost,
+        )
+        self.host.listed(end.kind.value, [])
 
     async def poll(self):
         """Makes calls one after another on one connection until one fails or the list is no longer wanted;
@@ -205,11 +220,12 @@
                 initial = False
             return PollEnd()
         except RefusedError as error:
-            return PollEnd(str(error))
+            return PollEnd(str(error), FailureKind.FAILED)
         except CALL_ERRORS as error:
             if is_unanswered:
                 self.record_lost_changes()
-            return PollEnd(f"{type(error).__name__}: {error}"[:200], self.changes_lost)
+            reason = f"{type(error).__name__}: {error}"[:MAX_REASON_LENGTH]
+            return PollEnd(reason, FailureKind.LOST if self.changes_lost else FailureKind.FAILED)
         finally:
             if connection:
                 connection.close()
