--- a/foxstep/commands/serve.py
+++ b/foxstep/commands/serve.py
@@ -1,5 +1,6 @@
 """`foxstep serve`: runs one controller until SIGTERM or ctrl-C."""
 
+import asyncio
 import signal
 
 import anyio
@@ -21,6 +22,7 @@
 from foxstep.xds.probes import Prober
 
 STOP_TIMEOUT_S = 0.3  # for the last notes to peers, and again for calls that are open
+CALL_TASKS_TIMEOUT_S = 2.0  # for grpcio to end the tasks of cancelled calls
 SERVER_OPTIONS = [
     ("grpc.so_reuseport", 0),
     ("grpc.max_receive_message_length", MAX_REPORT_BYTES),
@@ -43,6 +45,18 @@
             return
 
 
+async def stop_server(server):
+    """Stops the gRPC server, and waits until grpcio has ended the tasks of its calls.
+
+    `server.stop` returns before they have ended. A task that still waits for the last event of its call when
+    the event loop closes is cancelled, and grpcio prints a traceback. Nothing else may run on the loop.
+    """
+    await server.stop(STOP_TIMEOUT_S)
+    call_tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    if call_tasks:
+        await asyncio.wait(call_tasks, timeout=CALL_TASKS_TIMEOUT_S)
+
+
 def capturing(make, folder, writers):
     """Wraps `make` so that the module's inputs and orders are captured in `folder`.
 
@@ -136,7 +150,7 @@
             if coordinator:
                 with anyio.move_on_after(STOP_TIMEOUT_S):
                     await coordinator.leave()
-            await server.stop(STOP_TIMEOUT_S)
+            await stop_server(server)
             host.store.close()
             for writer in capture_writers:
                 writer.close()
