--- a/foxstep/proxy/control.py
+++ b/foxstep/proxy/control.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from contextlib import suppress
 from zlib import crc32
 
 import anyio
@@ -38,6 +39,7 @@
 CONNECT_TIMEOUT_S = 3.0
 DEFAULT_REPORT_INTERVAL_S = 0.5  # until the controller has asked for an interval
 MAX_REPORT_INTERVAL_S = 60.0
+MAX_UNSENT_REQUESTS = 16  # on the stream of tables; beyond them no further response is read
 DENY_ALL = 1
 
 
@@ -62,6 +64,15 @@
     return share
 
 
+def leaf_errors(group):
+    """The errors in an exception group and in the groups that it contains."""
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from leaf_errors(error)
+        else:
+            yield error
+
+
 class ControllerClient:
     """Connects to one controller at a time and applies its tables, retry modes and levels to `forwarder`.
 
@@ -192,8 +203,9 @@
                 group.start_soon(self.report_load, channel)
                 group.start_soon(self.report_usage, channel)
         except* STREAM_ERRORS as broken:
-            self.read_redirect(broken.exceptions)
-            self.log.info("stream broke", controller=address, why=str(broken.exceptions[0])[:120])
+            errors = list(leaf_errors(broken))
+            self.read_redirect(errors)
+            self.log.info("stream broke", controller=address, why=str(errors[0])[:120])
 
     def read_redirect(self, ends):
         """Reads from the stream's trailing metadata which known controller to connect to next, if any."""
@@ -208,25 +220,48 @@
     async def follow_tables(self, channel):
         """Subscribes to tables, routes and levels, and answers each response with an ACK or a NACK."""
         call = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel).DeltaAggregatedResources()
+        unsent, requests = anyio.create_memory_object_stream(MAX_UNSENT_REQUESTS)
+        for subscription in self.subscriptions():
+            unsent.send_nowait(subscription)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.write_requests, call, requests)
+            async with unsent:  # once it is closed, the writer ends after the last request
+                reason = await self.read_responses(call, unsent)
+        raise EOFError(reason)
+
+    def subscriptions(self):
+        """The first requests of a stream: for tables, with the held one, for routes and for levels."""
         versions = {self.pattern[:-1] + server: str(weight) for server, weight in self.table.held().items()}
-        await call.write(
+        return [
             discovery_pb2.DeltaDiscoveryRequest(
                 node=self.node(),
                 type_url=ENDPOINT_TYPE,
                 resource_names_subscribe=[self.pattern],
                 initial_resource_versions=versions,
-            )
-        )
-        await call.write(
+            ),
             discovery_pb2.DeltaDiscoveryRequest(
                 type_url=ROUTES_TYPE, resource_names_subscribe=[self.site_name]
-            )
-        )
-        await call.write(
+            ),
             discovery_pb2.DeltaDiscoveryRequest(
                 type_url=ASSIGNMENT_TYPE, resource_names_subscribe=[o["name"] for o in self.op_types]
-            )
-        )
+            ),
+        ]
+
+    async def write_requests(self, call, requests):
+        """Writes requests until there are none to come.
+
+        A write that fails does not end the stream here: only the reader is told why it has ended. From the
+        write, grpcio raises an error without the controller's status, and so without a redirect.
+        """
+        async for request in requests:
+            with suppress(*STREAM_ERRORS):
+                await call.write(request)
+
+    async def read_responses(self, call, unsent):
+        """Applies responses and queues an answer to each; returns why the stream is to end.
+
+        A read is always pending while requests are written, so that the status of the stream is received.
+        """
         while (response := await call.read()) is not grpc.aio.EOF:
             self.joined = True
             self.first_response.set()
@@ -244,10 +279,10 @@
                 answer.error_detail.code = 3
                 answer.error_detail.message = str(refused)
                 self.log.warning("table refused", why=str(refused))
-            await call.write(answer)
+            await unsent.send(answer)
             if stale:  # the sender learns what this proxy holds when it joins again
-                raise EOFError("the controller has an old epoch")
-        raise EOFError("the controller ended the stream")
+                return "the controller has an old epoch"
+        return "the controller ended the stream"
 
     def apply_response(self, response):
         """Applies a response as a whole and returns its number of table lines. Raises ChangeRejected."""
--- a/foxstep/xds/front.py
+++ b/foxstep/xds/front.py
@@ -22,6 +22,7 @@
 HANDSHAKE_TIMEOUT_S = 10.0  # from the start of a stream to its first request
 WRITE_TIMEOUT_S = 30.0  # after which the stream of a client that reads nothing is ended
 MAX_REPORT_BYTES = 4 * 1024 * 1024
+ANSWERS_TIMEOUT_FRACTION = 0.1  # of the grace: until a redirected client has answered all responses
 UNLIMITED_RATE = 1_000_000  # ops a second: a rate level from here on rejects nothing
 QUOTAS_FEATURE = "foxstep.quotas"  # client feature: rate levels reach it as quota assignments
 HOME_FEATURE = "foxstep.home"  # client feature: it dials the controller that the stream's end names
@@ -222,8 +223,21 @@
             with anyio.move_on_after(WRITE_TIMEOUT_S):
                 await self.wakeup.wait()
             self.wakeup = anyio.Event()
+        if self.redirect_address:
+            await self.wait_for_answers()
         raise StreamEnded(self.end_reason)
 
+    async def wait_for_answers(self):
+        """Waits until the client has answered all responses, for a small part of the grace at most.
+
+        A client whose answer crosses the end of the stream can lose the stream's status, and the redirect
+        with it: grpcio replaces the status by INTERNAL when a write fails.
+        """
+        with anyio.move_on_after(ANSWERS_TIMEOUT_FRACTION * self.front.site["grace"] / SECOND_US):
+            while any(subscription.unanswered for subscription in self.session.subscriptions.values()):
+                await self.wakeup.wait()
+                self.wakeup = anyio.Event()
+
 
 class ReportStream:
     """One proxy's load report stream: requests reports, and again whenever their interval changes."""
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -6,7 +6,7 @@
 import anyio
 import grpc
 import pytest
-from live import SERVERS, clock, controller, open_lines, until
+from live import SERVERS, Client, clock, controller, open_lines, until
 
 from foxstep.operate.service import PEERS_METHOD, call_controller
 from foxstep.peers.coordinator import PeerCoordinator
@@ -17,6 +17,7 @@
 from foxstep.proxy.table import ChangeRejected, Table, content_hash
 from foxstep.site import read_site
 from foxstep.site.load import EXAMPLES
+from foxstep.xds.front import HOME_FEATURE, HOME_METADATA_KEY
 
 pytestmark = pytest.mark.anyio
 
@@ -93,6 +94,29 @@
             assert "proxy" not in other.joined_proxies and one.control.dials == 0
 
 
+@pytest.mark.parametrize("answers", [True, False])
+async def test_a_redirect_is_sent_once_all_responses_are_answered_or_a_tenth_of_the_grace_has_passed(answers):
+    # Guards against a redirect that crosses an answer: grpcio can lose the status with the redirect then.
+    async with controller(grace=20_000_000) as (host, address), grpc.aio.insecure_channel(address) as channel:
+        host.listed("whole", open_lines(*SERVERS))
+        client = Client(channel, "p")
+        client.node.client_features.append(HOME_FEATURE)
+        await client.ask()
+        response, _ = await client.table()
+        redirected_at = clock()
+        host.redirect("p", "127.0.0.1:1")
+        await anyio.sleep(0.1)
+        assert not client.call.done()
+        if answers:
+            await client.accept(response)
+        with pytest.raises(grpc.aio.AioRpcError) as ended:
+            await client.response(timeout_s=10)
+        assert ended.value.code() == grpc.StatusCode.ABORTED
+        assert (HOME_METADATA_KEY, "127.0.0.1:1") in [*ended.value.trailing_metadata()]
+        if not answers:
+            assert clock() - redirected_at >= 0.1 * host.site["grace"]
+
+
 async def test_the_successor_uses_a_later_epoch_than_its_predecessor():
     async with pair() as peers, proxy(peers, "east") as one:
         await until(lambda: one.table.name)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -10,6 +10,7 @@
 import h2.errors
 import h2.events
 import pytest
+from envoy.service.discovery.v3 import discovery_pb2
 from live import (  # noqa: F401
     SITE,
     anyio_backend,
@@ -20,6 +21,7 @@
     until,
 )
 
+from foxstep.proxy.control import REDIRECT_METADATA, ROUTES_TYPE
 from foxstep.proxy.program import Proxy
 from foxstep.site import read_site
 
@@ -303,6 +305,63 @@
             group.cancel_scope.cancel()
 
 
+class SilentCall:
+    """A stream on which nothing is read or written."""
+
+    async def write(self, request):
+        await anyio.sleep_forever()
+
+    async def read(self):
+        await anyio.sleep_forever()
+
+
+class RedirectedCall:
+    """A stream that delivers one response; then writes to it fail, and a read tells the redirect."""
+
+    def __init__(self, target):
+        self.redirect = grpc.aio.AioRpcError(
+            grpc.StatusCode.ABORTED, grpc.aio.Metadata(), grpc.aio.Metadata((REDIRECT_METADATA, target))
+        )
+        self.responses = [discovery_pb2.DeltaDiscoveryResponse(type_url=ROUTES_TYPE, nonce="1")]
+        self.write_failed = anyio.Event()
+
+    async def write(self, request):
+        if not self.responses:
+            self.write_failed.set()
+            raise asyncio.InvalidStateError("RPC already finished.")
+
+    async def read(self):
+        if self.responses:
+            return self.responses.pop()
+        await self.write_failed.wait()
+        raise self.redirect
+
+
+class RedirectedChannel:
+    """A channel whose stream of tables is a RedirectedCall; all others are silent."""
+
+    def __init__(self, target):
+        self.target = target
+
+    async def channel_ready(self):
+        pass
+
+    def stream_stream(self, method, **options):
+        is_tables = method.endswith("/DeltaAggregatedResources")
+        return lambda: RedirectedCall(self.target) if is_tables else SilentCall()
+
+
+async def test_a_redirect_is_read_although_the_write_of_an_answer_fails(monkeypatch):
+    # Guards against a proxy that connects to the next address: only a read tells the status of a stream.
+    site, target = read_site(SITE), "127.0.0.1:2"
+    addresses = ["127.0.0.1:1", "127.0.0.1:3", target]
+    proxy = Proxy("p", "east", site.settings_map(), site.name, OP_TYPES, addresses, [], time.monotonic)
+    monkeypatch.setattr(proxy.control, "channel", lambda address: RedirectedChannel(target))
+    with anyio.fail_after(3):
+        await proxy.control.dial(addresses[0])
+    assert proxy.control.redirect_to == target
+
+
 async def test_bytes_that_are_not_http2_close_only_their_connection():
     server = await ScriptedServer("ok done").open()
 
