--- a/foxstep/measure/fleet.py
+++ b/foxstep/measure/fleet.py
@@ -18,7 +18,7 @@
 from foxstep.site.load import EXAMPLES
 from foxstep.standins.list_service import ListService
 from foxstep.xds import resources
-from foxstep.xds.front import QUOTAS_FEATURE, TABLES_FEATURE
+from foxstep.xds.protocol import QUOTAS_FEATURE, TABLES_FEATURE
 
 clock = time.monotonic
 SITE = os.path.join(EXAMPLES, "measured.jsonnet")
--- a/tests/live.py
+++ b/tests/live.py
@@ -17,7 +17,8 @@
 from foxstep.site import read_site
 from foxstep.site.load import EXAMPLES
 from foxstep.xds import resources
-from foxstep.xds.front import QUOTAS_FEATURE, Front
+from foxstep.xds.front import Front
+from foxstep.xds.protocol import QUOTAS_FEATURE
 
 SITE = f"{EXAMPLES}/loopback.jsonnet"
 FAILED_KINDS = {"failed", "lost"}  # of server lists that are reported to a host
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -17,7 +17,7 @@
 from foxstep.proxy.table import ChangeRejected, Table, content_hash
 from foxstep.site import read_site
 from foxstep.site.load import EXAMPLES
-from foxstep.xds.front import HOME_FEATURE, HOME_METADATA_KEY
+from foxstep.xds.protocol import HOME_FEATURE, HOME_METADATA_KEY
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_delta.py
+++ b/tests/test_delta.py
@@ -9,7 +9,7 @@
 
 from foxstep.tables.ledger import content_hash
 from foxstep.xds import resources
-from foxstep.xds.front import QUOTAS_FEATURE, TABLES_FEATURE
+from foxstep.xds.protocol import QUOTAS_FEATURE, TABLES_FEATURE
 
 pytestmark = pytest.mark.anyio
 SERVERS = [f"127.0.0.1:{9000 + k}" for k in range(30)]
