--- a/foxstep/commands/__init__.py
+++ b/foxstep/commands/__init__.py
@@ -7,8 +7,13 @@
 from foxstep.site import InputError
 
 
+class CommandError(Exception):
+    """A command cannot be carried out, though its input is valid. The message is one line."""
+
+
 class ErrorReportingGroup(click.Group):
-    """A command group that reports invalid input as one line on standard error and exits with 2."""
+    """A command group that reports invalid input as one line on standard error and exits with 2; with 1 for
+    a CommandError."""
 
     def invoke(self, ctx):
         try:
@@ -16,3 +21,6 @@
         except InputError as error:
             click.echo(f"foxstep: {error}", err=True)
             sys.exit(2)
+        except CommandError as error:
+            click.echo(f"foxstep: {error}", err=True)
+            sys.exit(1)
--- a/foxstep/commands/serve.py
+++ b/foxstep/commands/serve.py
@@ -4,37 +4,25 @@
 import signal
 
 import anyio
-import anyio.abc
-import grpc
 import msgspec
 import structlog
 
 from foxstep.balance import Controller
 from foxstep.capture.storage import CapturedModule, CaptureWriter
+from foxstep.commands.listeners import open_listeners
 from foxstep.live.clocks import clock, wall
 from foxstep.live.serving import ServingHost
 from foxstep.operate.service import OperatorService
 from foxstep.peers.coordinator import PeerCoordinator
 from foxstep.peers.fact_exchange import FactExchange
 from foxstep.sasp.front import SaspFront
-from foxstep.xds.front import MAX_REPORT_BYTES, Front
+from foxstep.xds.front import Front
 from foxstep.xds.listing import ListClient
 from foxstep.xds.probes import Prober
 
 STOP_TIMEOUT_S = 0.3  # for the last notes to peers, and again for calls that are open
 CALL_TASKS_TIMEOUT_S = 2.0  # for grpcio to end the tasks of cancelled calls
-SERVER_OPTIONS = [
-    ("grpc.so_reuseport", 0),
-    ("grpc.max_receive_message_length", MAX_REPORT_BYTES),
-    ("grpc.max_concurrent_streams", 10_000),
-    ("grpc.keepalive_time_ms", 5_000),
-    ("grpc.keepalive_timeout_ms", 2_000),
-    ("grpc.http2.ping_timeout_ms", 2_000),
-    ("grpc.http2.max_pings_without_data", 0),
-    # Proxies ping often, also between two streams; gRPC must not close their connections for it.
-    ("grpc.http2.min_recv_ping_interval_without_data_ms", 50),
-    ("grpc.http2.max_ping_strikes", 0),
-]
+LOG = structlog.get_logger("foxstep")
 
 
 async def wait_for_signal(scope):
@@ -90,71 +78,71 @@
     this controller's number and zone, its peers, its address for notes and the fraction of notes to drop;
     `capture`: folder to capture to, or None. The log event `ready` has the addresses.
     """
-    log = structlog.get_logger("foxstep")
     shared = shared or {}
     me = shared.get("me", site.controllers.me)
     settings = {**site.settings_map(), "me": me, "zone": shared.get("zone") or site.zone}
+    notes = shared["notes"] if shared.get("peers") else ""
     capture_writers = []
     make = capturing(make, capture, capture_writers) if capture else make
     host = ServingHost(settings, seed, clock, wall, state, disabled_guards, make, site.reports.cpu_part)
-    op_types = [
-        {"name": o.name, "method": o.method, "try_wait": round(site.proxies.try_aims * o.target_latency)}
-        for o in site.op_types
-    ]
-    front = Front(host, site.name, op_types)
-    server = grpc.aio.server(options=SERVER_OPTIONS)
-    front.add_to(server)
-    coordinator = None
+    try:
+        # After the host, which may have a long history to read: until then, proxies are to go elsewhere.
+        async with open_listeners(listen, notes, sasp) as listeners:
+            await run_controller(host, site, me, shared, list_address, listeners, print_address)
+    finally:
+        host.store.close()
+        for writer in capture_writers:
+            writer.close()
+    LOG.info("stopped", orders=host.order_count, messages=host.channel.sent_messages)
+
+
+async def run_controller(host, site, me, shared, list_address, listeners, print_address):
+    """Serves on the `listeners` until a signal; see `serve` for the arguments."""
     fact_exchange = FactExchange(host, me, site.controllers.exchange)
-    if shared.get("peers"):
-        notes_host, _, notes_port = shared["notes"].rpartition(":")
-        notes = await anyio.create_udp_socket(local_host=notes_host, local_port=int(notes_port))
-        coordinator = PeerCoordinator(
-            host, fact_exchange, site.name, me, shared["peers"], notes, shared.get("lose", 0.0)
-        )
-    server.add_generic_rpc_handlers((OperatorService(host, coordinator),))
-    port = server.add_insecure_port(listen)
+    coordinator = None
+    if listeners.notes:
+        peers, drop_ratio = shared["peers"], shared.get("lose", 0.0)
+        coordinator = PeerCoordinator(host, fact_exchange, site.name, me, peers, listeners.notes, drop_ratio)
     prober = Prober(host)
-    await server.start()
-    sasp_listener = None
-    sasp_fields = {}
-    if sasp:
-        sasp_host, _, sasp_port = sasp.rpartition(":")
-        sasp_listener = await anyio.create_tcp_listener(local_host=sasp_host, local_port=int(sasp_port))
-        sasp_fields = {"sasp": f"{sasp_host}:{sasp_listener.extra(anyio.abc.SocketAttribute.local_port)}"}
-    if print_address:
-        print(f"{listen.rpartition(':')[0]}:{port}", flush=True)
-    log.info(
-        "ready",
-        address=f"{listen.rpartition(':')[0]}:{port}",
-        site=site.name,
-        epoch=host.epoch,
-        me=me,
-        **sasp_fields,
-    )
     try:
+        await start_server(listeners.server, host, site, coordinator)
+        announce(listeners, host, site, me, print_address)
         async with anyio.create_task_group() as group:
             group.start_soon(wait_for_signal, group.cancel_scope)
             group.start_soon(host.run)
             group.start_soon(prober.run)
             group.start_soon(coordinator.run if coordinator else fact_exchange.run)
-            if sasp_listener:
+            if listeners.sasp:
                 limits = msgspec.structs.asdict(site.advice)
-                group.start_soon(SaspFront(host, limits).run, sasp_listener)
+                group.start_soon(SaspFront(host, limits).run, listeners.sasp)
             if list_address:
-                group.start_soon(
-                    ListClient(host, list_address, site.server_list.cluster, f"controller-{me}").run
-                )
+                list_client = ListClient(host, list_address, site.server_list.cluster, f"controller-{me}")
+                group.start_soon(list_client.run)
     finally:
         with anyio.CancelScope(shield=True):
             if coordinator:
                 with anyio.move_on_after(STOP_TIMEOUT_S):
                     await coordinator.leave()
-            await stop_server(server)
-            host.store.close()
-            for writer in capture_writers:
-                writer.close()
-        log.info("stopped", orders=host.order_count, messages=host.channel.sent_messages)
+            await stop_server(listeners.server)
+
+
+async def start_server(server, host, site, coordinator):
+    """Starts the gRPC server with the front for proxies and the service for operators."""
+    op_types = [
+        {"name": o.name, "method": o.method, "try_wait": round(site.proxies.try_aims * o.target_latency)}
+        for o in site.op_types
+    ]
+    Front(host, site.name, op_types).add_to(server)
+    server.add_generic_rpc_handlers((OperatorService(host, coordinator),))
+    await server.start()
+
+
+def announce(listeners, host, site, me, print_address):
+    """Logs that the controller is ready, and prints its address if that is asked for."""
+    if print_address:
+        print(listeners.address, flush=True)
+    sasp_fields = {"sasp": listeners.sasp_address} if listeners.sasp else {}
+    LOG.info("ready", address=listeners.address, site=site.name, epoch=host.epoch, me=me, **sasp_fields)
 
 
 def run(
--- a/foxstep/peers/transport.py
+++ b/foxstep/peers/transport.py
@@ -46,7 +46,8 @@
     """Sends and receives one controller's messages.
 
     `proxy_count` returns the number of proxies served here. `drop_ratio` is the fraction of outgoing messages
-    that a drill discards. `is_valid_fact(lane, key, value)` checks received facts.
+    that a drill discards. `is_valid_fact(lane, key, value)` checks received facts. The caller closes the
+    socket: the last messages are sent after `run` has ended.
     """
 
     def __init__(
@@ -179,6 +180,6 @@
             await anyio.sleep(self.membership.period / SECOND_US / 10)
 
     async def run(self):
-        async with self.socket, anyio.create_task_group() as group:
+        async with anyio.create_task_group() as group:
             group.start_soon(self.receive)
             group.start_soon(self.run_timer)
