--- a/foxstep/xds/listing.py
+++ b/foxstep/xds/listing.py
@@ -19,7 +19,12 @@
 from foxstep.xds.cancellation import is_stray_cancellation, with_timeout
 
 MAX_SERVERS = 20_000
+MAX_LIST_BYTES = 16 * 2**20
+MILLISECOND_US = 1_000
 SECOND_US = 1_000_000
+# Of `ask_within`, after which a change counts as known: the time without data until the connection is probed,
+# and again until a probe that gets no answer ends it.
+KEEPALIVE_FRACTION = 0.25
 DRAINING_STATUSES = (health_check_pb2.DRAINING, health_check_pb2.UNHEALTHY)
 
 
@@ -130,13 +135,25 @@
     def fetch(self):
         self.requested.set()
 
-    async def run(self):
-        options = [
-            ("grpc.keepalive_time_ms", 10_000),
-            ("grpc.max_receive_message_length", 16 * 2**20),
+    def channel_options(self):
+        """gRPC's options: a service that has gone silent is noticed within half of `ask_within`.
+
+        A service that does not allow so many keepalive pings ends the connection with "too many pings"; gRPC
+        then doubles the interval.
+        """
+        keepalive_ms = round(KEEPALIVE_FRACTION * self.host.site["ask_within"] / MILLISECOND_US)
+        return [
+            ("grpc.keepalive_time_ms", keepalive_ms),
+            ("grpc.keepalive_timeout_ms", keepalive_ms),
+            ("grpc.http2.ping_timeout_ms", keepalive_ms),
+            ("grpc.http2.max_pings_without_data", 0),
+            ("grpc.max_receive_message_length", MAX_LIST_BYTES),
             ("grpc.max_reconnect_backoff_ms", 1000),
         ]
-        async with grpc.aio.insecure_channel(self.address, options=options) as channel:
+
+    async def run(self):
+        """Runs the requested subscriptions until cancelled."""
+        async with grpc.aio.insecure_channel(self.address, options=self.channel_options()) as channel:
             while True:
                 await self.requested.wait()
                 self.requested = anyio.Event()
--- a/tests/live.py
+++ b/tests/live.py
@@ -152,6 +152,13 @@
             await anyio.sleep(0.01)
 
 
+def record_list_kinds(host):
+    """Records the kind of each list that is reported to the host; returns the list of kinds."""
+    kinds, listed = [], host.listed
+    host.listed = lambda kind, lines: (kinds.append(kind), listed(kind, lines))
+    return kinds
+
+
 def record_retry_delays(host):
     """Records by how much the next request for the server list is to follow each failed one, in microseconds;
     returns the list of delays. They are the decision module's, however late the event loop is."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,10 +1,12 @@
 """A controller with foreign or misbehaving peers: the stock gRPC client, list services; and signals."""
 
+import asyncio
 import json
 import signal
 import subprocess
 import sys
 import time
+from contextlib import suppress
 
 import anyio
 import grpc
@@ -20,6 +22,7 @@
     collect_garbage,
     controller,
     open_lines,
+    record_list_kinds,
     record_retry_delays,
     serve_grpc,
     until,
@@ -208,6 +211,56 @@
         assert max(delays) < host.site["grace"] - host.site["transit_most"]
 
 
+class SilentRelay:
+    """A TCP relay that, once `is_silent` is set, keeps its connections open and passes nothing on."""
+
+    def __init__(self, port):
+        self.port = port
+        self.is_silent = False
+        self.tasks = set()
+
+    async def relay(self, reader, writer):
+        inner_reader, inner_writer = await asyncio.open_connection("127.0.0.1", self.port)
+        copies = [self.copy(reader, inner_writer), self.copy(inner_reader, writer)]
+        self.tasks.update(asyncio.ensure_future(copy) for copy in copies)
+
+    async def copy(self, reader, writer):
+        with suppress(OSError):
+            while data := await reader.read(65536):
+                if not self.is_silent:
+                    writer.write(data)
+        writer.close()
+
+
+async def test_a_list_service_that_goes_silent_is_noticed_within_half_of_the_stated_time():
+    # Guards against changes that are lost unnoticed for a minute: a quiet connection was hardly ever probed.
+    service, server = ScriptedListService("whole"), grpc.aio.server()
+    eds_pb2_grpc.add_EndpointDiscoveryServiceServicer_to_server(service, server)
+    async with (
+        serve_grpc(server) as port,
+        controller(list_asked=True, ask_within=2_000_000) as (host, address),
+    ):
+        relay, kinds = SilentRelay(port), record_list_kinds(host)
+        async with (
+            await asyncio.start_server(relay.relay, "127.0.0.1", 0) as listener,
+            anyio.create_task_group() as group,
+        ):
+            list_client = ListClient(
+                host, f"127.0.0.1:{listener.sockets[0].getsockname()[1]}", "servers", "me"
+            )
+            options = dict(list_client.channel_options())
+            silence_ms = options["grpc.keepalive_time_ms"] + options["grpc.http2.ping_timeout_ms"]
+            assert silence_ms <= host.site["ask_within"] / 1000 / 2
+            list_client.watch(True)
+            group.start_soon(list_client.run)
+            await until(lambda: "whole" in kinds, 20)
+            relay.is_silent = True
+            await until(lambda: "lost" in kinds, 20)
+            group.cancel_scope.cancel()
+        for task in relay.tasks:
+            task.cancel()
+
+
 async def test_a_restart_clears_withdrawals_held_by_proxies():
     async with controller() as (host, address):
         host.listed("whole", open_lines(*SERVERS[:3]))
