--- a/foxstep/xds/listing.py
+++ b/foxstep/xds/listing.py
@@ -25,6 +25,7 @@
 # Of `ask_within`, after which a change counts as known: the time without data until the connection is probed,
 # and again until a probe that gets no answer ends it.
 KEEPALIVE_FRACTION = 0.25
+MIN_KEEPALIVE_MS = 100
 DRAINING_STATUSES = (health_check_pb2.DRAINING, health_check_pb2.UNHEALTHY)
 
 
@@ -136,12 +137,13 @@
         self.requested.set()
 
     def channel_options(self):
-        """gRPC's options: a service that has gone silent is noticed within half of `ask_within`.
+        """gRPC's options: a service that has gone silent is noticed within half of `ask_within`, or 200 ms.
 
         A service that does not allow so many keepalive pings ends the connection with "too many pings"; gRPC
         then doubles the interval.
         """
-        keepalive_ms = round(KEEPALIVE_FRACTION * self.host.site["ask_within"] / MILLISECOND_US)
+        ask_within_ms = self.host.site["ask_within"] / MILLISECOND_US
+        keepalive_ms = max(round(KEEPALIVE_FRACTION * ask_within_ms), MIN_KEEPALIVE_MS)
         return [
             ("grpc.keepalive_time_ms", keepalive_ms),
             ("grpc.keepalive_timeout_ms", keepalive_ms),
