--- a/foxstep/drills/player.py
+++ b/foxstep/drills/player.py
@@ -26,7 +26,7 @@
 from foxstep.standins.balancer import AdvisedClient
 from foxstep.standins.client import ProxyClient
 from foxstep.standins.list_service import ListService
-from foxstep.standins.ports import free_ports
+from foxstep.standins.ports import free_ports, wait_until_listening
 from foxstep.standins.sasp_relay import SaspRelay
 from foxstep.standins.server import Server
 from foxstep.standins.stream_relay import StreamRelay
@@ -35,6 +35,7 @@
 clock = time.monotonic
 KEEPALIVES_PER_GRACE = 8  # how often a relay probes its controller, to notice one that is suspended
 REPORTERS_PER_PROCESS = 50
+CONTROLLER_START_TIMEOUT_S = 30.0
 SETTLE_TIME_S = 3.0  # time that controllers and clients get before the day begins
 STOP_TIMEOUT_S = 2.0
 
@@ -365,10 +366,11 @@
                 for k in range(self.day.controllers):
                     self.start_controller(k)
                 await anyio.sleep(SETTLE_TIME_S / 2)
+                await self.wait_for_controllers()
                 await self.start_clients(group)
                 await anyio.sleep(SETTLE_TIME_S)
                 if any(c.poll() is not None for c in self.controllers):
-                    raise click.ClickException(f"a controller did not start: {self.folder}/controller.log")
+                    self.report_failed_start()
                 self.record_places()
                 self.began = clock()
                 self.record("event", what="the day begins")
@@ -386,6 +388,18 @@
                 await self.stop()
         self.record.write(self.folder)
 
+    async def wait_for_controllers(self):
+        """Waits until all controllers accept connections: clients that come earlier go to another one."""
+        try:
+            for port in self.ports:
+                await wait_until_listening(port, CONTROLLER_START_TIMEOUT_S)
+        except TimeoutError:
+            self.report_failed_start()
+
+    def report_failed_start(self):
+        """Raises a ClickException that names the controllers' log."""
+        raise click.ClickException(f"a controller did not start: {self.folder}/controller.log")
+
     def record_places(self):
         """Records the zones of controllers and clients, and copies the controllers' stores for `do_old`."""
         for k in range(len(self.ports)):
