--- a/tests/node.py
+++ b/tests/node.py
@@ -154,9 +154,7 @@
                         answer = self.last_change
                     except TimeoutError:
                         pass
-                if self.healed:
-                    await asyncio.sleep(60)
-                await asyncio.sleep(self.delay)
+                # In one step, so that the index and the list of an answer are of the same moment.
                 body = json.dumps(
                     {
                         "index": self.index,
@@ -164,6 +162,9 @@
                         "endpoints": list(answer.values()),
                     }
                 ).encode()
+                if self.healed:
+                    await asyncio.sleep(60)
+                await asyncio.sleep(self.delay)
                 head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
                 for part in (head[:9], head[9:], body):  # in several pieces, as TCP may deliver them
                     writer.write(part)
