--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -140,7 +140,7 @@
             server = self.servers.get(ident)
             if server is None:
                 server = self.servers[ident] = Server(ident)
-                server.tries = SlidingWindow(self.cycle, 8, 4)
+                server.tries = SlidingWindow(self.cycle, 8, 5)
                 server.loads = SlidingWindow(self.cycle, 8, 3)
             if state == "open" and (server.state != "open" or started > server.started):
                 self.reset_server(server, now, started)
@@ -262,7 +262,8 @@
         server = self.servers.get(ident)
         if server:
             acked = tries - aborted
-            server.tries.add(self.record_arrival(now), tries, aborted, acked, latency * acked)
+            timed = acked if latency > 0 else 0
+            server.tries.add(self.record_arrival(now), tries, aborted, acked, timed, latency * timed)
             self.record_load(server, now, load)
 
     def used(self, now, ident, op_type, ops, unanswered, window):
@@ -373,14 +374,14 @@
         # The median over the servers is not moved by a few failing ones.
         healthy = [s for s in self.open_servers() if s.health_factor > 0]
         judged = [s.recent_tries for s in healthy if s.recent_tries[0] >= MIN_JUDGED_TRIES]
-        self.error_fraction = median_high([aborted / tries for tries, aborted, _, _ in judged] or [0.0])
+        self.error_fraction = median_high([aborted / tries for tries, aborted, *_ in judged] or [0.0])
         # The mean over all tries of the middle half of the servers. With only a few tries for each server,
         # the mean latency of a single one is too noisy, and so is the median of the servers that have enough.
         latencies = sorted(
-            (s.recent_tries[3] / s.recent_tries[2], *s.recent_tries[2:]) for s in healthy if s.recent_tries[2]
+            (s.recent_tries[4] / s.recent_tries[3], *s.recent_tries[3:]) for s in healthy if s.recent_tries[3]
         )
         middle = latencies[len(latencies) // 4 : len(latencies) - len(latencies) // 4]
-        self.latency = sum(total for *_, total in middle) / max(sum(acked for _, acked, _ in middle), 1)
+        self.latency = sum(total for *_, total in middle) / max(sum(timed for _, timed, _ in middle), 1)
         # The average begins with its initial value, since only fast tries are answered soon after a start.
         if self.latency:
             self.smoothed_latency += (self.latency - self.smoothed_latency) * SMOOTHING_FACTOR
@@ -389,9 +390,9 @@
         self.acked = acked / self.recent_seconds  # tries a second
         self.fleet_aborted_fraction = aborted / max(tries, 1)
         for server in self.open_servers():
-            _, _, acked, latency = server.recent_tries
+            *_, timed, latency = server.recent_tries
             server.latency_ratio = (
-                latency / acked / self.latency if acked >= MIN_JUDGED_TRIES and self.latency else 1.0
+                latency / timed / self.latency if timed >= MIN_JUDGED_TRIES and self.latency else 1.0
             )
         reporting = healthy if "busy" in self.site.get("reports", []) else []
         busy = {s: s.recent_loads[1] / s.recent_loads[0] for s in reporting if s.recent_loads[0]}
@@ -515,7 +516,7 @@
         if not loads and self.now >= self.measure_kinds_at:
             # Without load reports, only latency shows the load. Drawback: a slow server gets less work than
             # it could do.
-            loads = [(s, s.latency_ratio) for s in healthy if s.recent_tries[2] >= MIN_JUDGED_TRIES]
+            loads = [(s, s.latency_ratio) for s in healthy if s.recent_tries[3] >= MIN_JUDGED_TRIES]
         if len(loads) < 2:
             return
         if sum(self.busy_fractions) and self.now >= self.measure_kinds_at:
--- a/foxstep/fleet.py
+++ b/foxstep/fleet.py
@@ -70,10 +70,11 @@
         self.aborted_fraction = None  # of its recent tries; None: too few tries
         self.probe_successes = self.probe_failures = 0  # in a row
         self.probe_sent_at = 0  # of the probe under way; 0: none is
-        self.tries = None  # SlidingWindow: tries, aborted, acked, total latency of the acked ones
+        # SlidingWindow: tries, aborted, acked, timed (the acked ones with a known latency), their total latency
+        self.tries = None
         self.loads = None  # SlidingWindow: reports, sum of busy, sum of waiting or held ops
-        self.recent_tries, self.recent_loads = [0.0] * 4, [0.0] * 3  # recent sums of these two
-        self.latency_ratio = 1.0  # mean latency of its tries over the fleet's
+        self.recent_tries, self.recent_loads = [0.0] * 5, [0.0] * 3  # recent sums of these two
+        self.latency_ratio = 1.0  # mean latency of its tries over the fleet's; 1: not known; never 0
         self.holders = {}  # the proxies that hold a line of it, as an ordered set
         self.assigned_rate = 0.0  # ops a second that the ordered tables send to it
 
--- a/foxstep/interface.py
+++ b/foxstep/interface.py
@@ -75,7 +75,7 @@
         load: Load | None,
     ) -> None:
         """Results that joined proxies of a zone had at a server within `window` microseconds. `latency` is
-        the mean of the acked tries."""
+        the mean of the acked tries; 0: not known."""
 
     def used(self, now: int, proxy: int, op_type: str, ops: int, unanswered: int, window: int) -> None:
         """Ops of one type that a proxy received within `window` microseconds."""
--- a/foxstep/node/streams.py
+++ b/foxstep/node/streams.py
@@ -175,6 +175,8 @@
                 self.log_ignored(f"unknown server {message.endpoint[:80]} or zone {message.locality[:80]}")
             elif message.errors > message.total:
                 self.log_ignored("more errors than tries")
+            elif message.errors < message.total and not round(message.rtt * 1000):
+                self.log_ignored("tries were answered in no time")
             else:
                 load = message.metrics and self.acceptor.parse_load(message.metrics)
                 self.host.heard(
