--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -513,13 +513,14 @@
             if reports:
                 wait = in_progress / reports / max(rate_per_weight * server.weight, 0.5) * SECOND
                 loads.append((server, max(busy / reports + wait / self.mean_target_latency, 0.05)))
-        if not loads and self.now >= self.measure_kinds_at:
+        are_reported = bool(loads)
+        if not are_reported and self.now >= self.measure_kinds_at:
             # Without load reports, only latency shows the load. Drawback: a slow server gets less work than
             # it could do.
             loads = [(s, s.latency_ratio) for s in healthy if s.recent_tries[3] >= MIN_JUDGED_TRIES]
         if len(loads) < 2:
             return
-        if sum(self.busy_fractions) and self.now >= self.measure_kinds_at:
+        if are_reported and sum(self.busy_fractions) and self.now >= self.measure_kinds_at:
             # The initial weight of each server kind is what one of its busy cores does: with steps alone, the
             # weights would take most of a minute to get there.
             self.measure_kinds_at = float("inf")
