--- a/foxstep/balance.py
+++ b/foxstep/balance.py
@@ -42,6 +42,10 @@
 EARNINGS_EXPONENT = 3  # the weight of an op type's cap is its demand times its earnings to this power
 
 # Updates of weights.
+# The weights of the open servers have a mean of 1, whatever unit the list's weights have.
+MIN_WEIGHT = 0.1  # of servers whose load is known
+MAX_WEIGHT = 4.0
+MIN_INITIAL_WEIGHT = 0.01  # lines of a cold server must not round to 0, which would remove them
 WEIGHT_STEP_EXPONENT = 0.1  # a weight is multiplied by (mean load / load) to this power each period
 UPDATE_THRESHOLD = 0.1  # relative difference from which a line or a level is sent
 
@@ -208,7 +212,7 @@
         server = self.servers.get(ident)
         if server is None or server.state != "open" or self.has_enough_tries(now, server):
             return
-        server.weight = min(max(weight, 0.1), 4.0)
+        server.weight = min(max(weight, MIN_WEIGHT), MAX_WEIGHT)
         self.measure_kinds_at = float("inf")  # learnt weights replace the measurement of server kinds
         withdrawn_count = sum(s.health_factor == 0 for s in self.open_servers())
         open_count = len(self.open_servers())
@@ -529,8 +533,10 @@
                 same_kind = [s for s, _ in loads if s.kind == kind]
                 busy = sum(s.recent_loads[1] / s.recent_loads[0] for s in same_kind)
                 relative_speed = (sum(s.recent_tries[2] for s in same_kind) + 1) / (busy * acked_per_core + 1)
-                for server in same_kind:
-                    server.weight *= relative_speed
+                # Those of the kind that are cold, withdrawn or without a report have the same speed.
+                for server in self.weighted_servers():
+                    if server.kind == kind:
+                        server.weight *= relative_speed
         # Loads are cut to a range around the one that latency shows. Guards against load reports that are too
         # high, too low or stuck. Drawback: a server that is far slower or faster than others of its kind is
         # adjusted by its latency rather than by its cores.
@@ -546,11 +552,39 @@
             for s, load in loads
         ]
         mean = fmean(load for _, load in loads)
+        sum_before = sum(s.weight for s, _ in loads)
         for server, load in loads:
             server.weight *= min(max((mean / load) ** WEIGHT_STEP_EXPONENT, 0.8), 1.25)
-        scale = len(loads) / sum(s.weight for s, _ in loads)
+        # The steps move weight between these servers, and none from or to the others.
+        scale = sum_before / sum(s.weight for s, _ in loads)
         for server, _ in loads:
-            server.weight = min(max(server.weight * scale, 0.1), 4.0)
+            server.weight *= scale
+        self.normalize_weights()
+        for server, _ in loads:
+            server.weight = min(max(server.weight, MIN_WEIGHT), MAX_WEIGHT)
+
+    def weighted_servers(self):
+        """All servers that have a weight, those that drain or are gone included."""
+        return [s for s in self.servers.values() if s.weight]
+
+    def normalize_weights(self):
+        """Scales all weights so that those of the open servers have a mean of 1.
+
+        Servers that are cold, withdrawn or without a load report are scaled, too: if their weights kept the
+        earlier unit, they would get many times their part, or next to nothing."""
+        weights = [s.weight for s in self.open_servers() if s.weight]
+        scale = len(weights) / sum(weights)
+        for server in self.weighted_servers():
+            server.weight *= scale
+
+    def initial_weight(self, server):
+        """The weight of an open server that has none yet: its listed weight in the unit of the other weights,
+        as the servers of its kind show it, or all servers if there is none of its kind."""
+        weighted = self.weighted_servers()
+        same_kind = [s for s in weighted if s.kind == server.kind]
+        ratios = [s.weight / s.listed_weight for s in same_kind or weighted]
+        unit = fmean(ratios) if ratios else 1 / fmean(s.listed_weight for s in self.open_servers())
+        return max(unit * server.listed_weight, MIN_INITIAL_WEIGHT)
 
     # Capacity and caps
 
@@ -692,8 +726,7 @@
     # Tables and the channel
 
     def compute_shared_table(self):
-        """The weight of every server that may be picked. A new server gets the mean weight of its kind,
-        scaled by its listed weight.
+        """The weight of every server that may be picked.
 
         A cold server gets what it can safely do: nothing until it can take a first burst of ops, and less or
         nothing while tries fail across the fleet, since proxies then eject other lines and all ops go to the
@@ -703,10 +736,7 @@
         table = {}
         for server in candidates:
             if server.weight is None:
-                same_kind = [s for s in self.servers.values() if s.weight and s.kind == server.kind]
-                server.weight = (
-                    fmean([s.weight / s.listed_weight for s in same_kind] or [1.0]) * server.listed_weight
-                )
+                server.weight = self.initial_weight(server)
             warm_fraction = self.warm_fraction(server)
             fraction = (
                 warm_fraction
@@ -723,7 +753,11 @@
         do). Weight advice is computed from this."""
         open_servers = self.open_servers()
         return {
-            s.ident: (self.shared_table.get(s, 0.0), s.weight or s.listed_weight, self.warm_fraction(s))
+            s.ident: (
+                self.shared_table.get(s, 0.0),
+                s.weight or self.initial_weight(s),
+                self.warm_fraction(s),
+            )
             for s in open_servers
         }
 
--- a/foxstep/fleet.py
+++ b/foxstep/fleet.py
@@ -70,7 +70,7 @@
         self.aborted_fraction = None  # of its recent tries; None: too few tries
         self.probe_successes = self.probe_failures = 0  # in a row
         self.probe_sent_at = 0  # of the probe under way; 0: none is
-        # SlidingWindow: tries, aborted, acked, timed (acked, with a known latency), total latency of the timed
+        # SlidingWindow: tries, aborted, acked, timed (acked with a known latency), their total latency
         self.tries = None
         self.loads = None  # SlidingWindow: reports, sum of busy, sum of waiting or held ops
         self.recent_tries, self.recent_loads = [0.0] * 5, [0.0] * 3  # recent sums of these two
