--- a/foxstep/node/discovery.py
+++ b/foxstep/node/discovery.py
@@ -1,5 +1,6 @@
 """Client of the discovery service: keeps the list of servers current by long polling while it is watched."""
 
+import asyncio
 from dataclasses import dataclass
 from enum import Enum
 
@@ -9,10 +10,13 @@
 
 from foxstep.node.config import ConfigError, ServerList, parse_address, server_lines
 from foxstep.node.http import HttpConnectionError, connect
+from foxstep.node.late_calls import Answer, Call, LateCalls
 
 SECOND = 1_000_000  # microseconds
 CONNECT_TIMEOUT_S = 1.0
-RESPONSE_TIMEOUT_S = 1.2  # of a call, beyond the time that discovery may wait for a change
+# Of a call, beyond the time that discovery may wait for a change. Then another call is made, since the
+# connection may be dead. It is below the 2 s that the protocol leaves discovery, so that the news is in time.
+RESPONSE_TIMEOUT_S = 1.2
 FULL_LIST_EXTRA_TIMEOUT_S = 1.0
 # Of the grace, or of the time since changes may have been lost if that is longer: an attempt to connect while
 # the network is cut must not delay the next one for long.
@@ -50,13 +54,11 @@
     kind: FailureKind | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """A complete answer of discovery. `is_full_list`: the full list was requested, not changes."""
-
-    is_full_list: bool
-    status: int
-    body: bytes
+def decode_answer(answer):
+    """The ServerList of an answer. Raises RefusedError, or an error of decoding."""
+    if answer.status != 200:
+        raise RefusedError(f"discovery answered with HTTP status {answer.status}")
+    return DECODER.decode(answer.body)
 
 
 class DiscoveryClient:
@@ -71,6 +73,8 @@
         self.address = discovery
         self.index = None
         self.addresses = {}
+        self.accepted_count = 0  # how many lists were accepted
+        self.late_calls = LateCalls(self.receive_late)
         self.call_requested = anyio.Event()
         self.watching = False
         self.call_scope = None  # the cancel scope of the calls under way
@@ -160,28 +164,35 @@
             self.restart_call()
 
     def restart_call(self):
-        """Cancels and repeats the call under way, or wakes the loop if there is none; it calls if the list is
-        wanted."""
+        """Repeats the call under way, or wakes the loop if there is none; it calls if the list is wanted."""
         if self.call_scope:
-            self.record_lost_changes()  # an answer may be on its way
+            self.record_lost_changes()  # the answer that may be on its way could be lost
             self.call_scope.cancel()
         else:
             self.call_requested.set()
 
     async def run(self):
         """Makes the requested calls until cancelled. Reports failures to the host, which orders retries."""
-        while True:
-            await self.call_requested.wait()
-            self.call_requested = anyio.Event()
-            end = None
-            while end is None:
-                with anyio.CancelScope() as self.call_scope:
-                    end = await self.poll()
-                if self.call_scope.cancel_called:  # also if the call ended in the same tick
-                    end = None
-            self.call_scope = None
-            if end.kind:
-                self.report_failure(end)
+        try:
+            while True:
+                await self.call_requested.wait()
+                self.call_requested = anyio.Event()
+                end = await self.poll_until_end()
+                if end.kind:
+                    self.report_failure(end)
+        finally:
+            self.late_calls.end_all()
+
+    async def poll_until_end(self):
+        """Polls, again each time that the call under way is to be repeated; returns the PollEnd."""
+        end = None
+        while end is None:
+            with anyio.CancelScope() as self.call_scope:
+                end = await self.poll()
+            if self.call_scope.cancel_called:  # also if the call ended in the same tick
+                end = None
+        self.call_scope = None
+        return end
 
     def report_failure(self, end):
         """Logs a failed call, and reports it to the host."""
@@ -215,7 +226,7 @@
                         self.record_lost_changes()
                         continue
                     raise
-                self.accept(answer, initial)
+                self.accept(decode_answer(answer), answer.is_full_list, initial)
                 is_unanswered = False
                 initial = False
             return PollEnd()
@@ -227,24 +238,39 @@
             reason = f"{type(error).__name__}: {error}"[:MAX_REASON_LENGTH]
             return PollEnd(reason, FailureKind.LOST if self.changes_lost else FailureKind.FAILED)
         finally:
-            if connection:
+            if connection and not self.late_calls.holds(connection):
                 connection.close()
 
-    def accept(self, answer, initial):
-        """Applies an answer and reports its list to the host, an empty one only if it is the initial answer.
-        Raises RefusedError, ConfigError, or an error of decoding."""
-        if answer.status != 200:
-            raise RefusedError(f"discovery answered with HTTP status {answer.status}")
-        server_list = DECODER.decode(answer.body)
+    def receive_late(self, call, answer):
+        """Takes the answer of a call that was given up, unless it is of no use any more.
+
+        If a later call has been answered meanwhile, this answer says nothing about changes that may have been
+        lost since then."""
+        try:
+            server_list = decode_answer(answer)
+            if self.index is not None and server_list.index < self.index:
+                return
+            if call.accepted_before == self.accepted_count:
+                self.accept(server_list, answer.is_full_list, initial=True)
+            elif server_list.index > self.index:
+                self.host.listed("whole" if server_list.snapshot else "changes", self.apply(server_list))
+                self.index = server_list.index
+        except (RefusedError, *CALL_ERRORS) as error:
+            self.log.warning("late answer rejected", why=str(error)[:MAX_REASON_LENGTH])
+
+    def accept(self, server_list, is_full_list, initial):
+        """Applies a list and reports it to the host, an empty one only if it is the initial answer. Raises
+        RefusedError or ConfigError."""
         if reason := self.reason_to_reject(server_list):
             raise RefusedError(reason)
         lines = self.apply(server_list)
         self.index = server_list.index
+        self.accepted_count += 1
         self.catch_up_timeout_s = RESPONSE_TIMEOUT_S
         if self.changes_lost:
             self.changes_lost_at = None
             self.log.info("list current again", index=self.index, changed=len(lines))
-        self.full_list_requested = self.full_list_requested and not answer.is_full_list
+        self.full_list_requested = self.full_list_requested and not is_full_list
         if lines or initial or server_list.snapshot:
             self.host.listed("whole" if server_list.snapshot else "changes", lines)
 
@@ -263,7 +289,7 @@
 
     async def call(self, connection):
         """Requests the full list, or the changes since the accepted one; returns the Answer. Raises
-        HttpConnectionError or TimeoutError."""
+        HttpConnectionError or TimeoutError. A call that is given up goes to `late_calls`."""
         is_full_list = self.full_list_requested or self.index is None
         if is_full_list:
             path = "/v1/servers"
@@ -274,13 +300,17 @@
         else:
             path = self.changes_path(self.poll_wait_s)
             timeout_s = self.poll_wait_s + RESPONSE_TIMEOUT_S
+        response = connection.get(path, self.address)
         try:
             with anyio.fail_after(timeout_s):
-                status, body = await connection.get(path, self.address)
+                status, body = await asyncio.shield(response)
         except TimeoutError:
             if self.changes_lost:
                 self.catch_up_timeout_s = min(2 * timeout_s, self.poll_wait_s + RESPONSE_TIMEOUT_S)
             raise
+        finally:
+            if not response.done():
+                self.late_calls.add(Call(connection, response, is_full_list, self.accepted_count))
         return Answer(is_full_list, status, body)
 
     def changes_path(self, wait_s):
--- a/tests/test_node_races.py
+++ b/tests/test_node_races.py
@@ -19,7 +19,9 @@
 
 from foxstep.node import config as configs
 from foxstep.node import discovery as discovery_module
+from foxstep.node import late_calls
 from foxstep.node.discovery import CONNECT_TIMEOUT_S, RESPONSE_TIMEOUT_S, FailureKind, PollEnd
+from foxstep.node.late_calls import Answer, Call
 from foxstep.node.streams import HANDSHAKE_TIMEOUT_S, Connection
 from foxstep.standins.ports import free_ports
 
@@ -313,6 +315,70 @@
         assert kinds.count("lost") == 2  # the first call that was answered late was given up
 
 
+async def test_answer_that_comes_after_its_call_was_given_up_is_taken(tmp_path):
+    # Guards against ops to a drained server: the answers of a busy discovery were given up just before they
+    # came, within the 2 s that the protocol leaves them (review/9).
+    discovery, settings = FakeDiscovery(A, B), settings_with(askWithin=2000.0, drainGrace=1500.0)
+    async with run_node(tmp_path, discovery, known=[A, B], settings=settings) as running:
+        client, kinds = running.node.discovery, record_list_kinds(running.host)
+        proxy = await running.connect()
+        await proxy.join(3)
+        await until(lambda: "after=5&" in "".join(discovery.paths))
+        await anyio.sleep(0.6 * client.poll_wait_s)
+        discovery.delay = 1.9  # below the 2 s after which the news counts as told
+        discovery.change(endpoint(A, "leaving"))  # the answer comes 1.5 s after the long poll's wait
+        changed_at = time.monotonic()
+        while proxy.weights.keys() != {B}:
+            await proxy.receive_update(within=9)
+        assert time.monotonic() - changed_at < discovery.delay + running.host.site["grace"] / 1_000_000
+        assert "lost" in kinds and not client.changes_lost
+
+
+async def test_late_answer_of_an_older_list_changes_nothing(tmp_path):
+    # Guards against a late answer that undoes what a later call has told.
+    discovery, settings = FakeDiscovery(A, B), settings_with(askWithin=2000.0)
+    async with run_node(tmp_path, discovery, known=[A, B], settings=settings) as running:
+        await until(lambda: "after=5&" in "".join(discovery.paths))
+        client = running.node.discovery
+        discovery.change(endpoint(A, "leaving"))
+        await until(lambda: client.index == 6)
+        before, accepted = dict(running.host.listed_lines), client.accepted_count
+        older = {"index": 5, "snapshot": True, "endpoints": [endpoint(A), endpoint(C)]}
+        call = Call(None, None, True, accepted)
+        client.receive_late(call, Answer(True, 200, json.dumps(older).encode()))
+        assert client.index == 6 and running.host.listed_lines == before
+        # An answer of the same time as the accepted list says nothing about changes that were lost since.
+        client.record_lost_changes()
+        same = {"index": 6, "snapshot": False, "endpoints": []}
+        client.receive_late(
+            Call(None, None, False, accepted - 1), Answer(False, 200, json.dumps(same).encode())
+        )
+        assert client.changes_lost
+        client.receive_late(call, Answer(False, 200, json.dumps(same).encode()))
+        assert not client.changes_lost
+        client.receive_late(call, Answer(False, 200, b"no list"))
+        client.receive_late(call, Answer(False, 503, b""))
+        assert client.index == 6 and running.host.listed_lines == before
+
+
+async def test_late_calls_are_bounded_in_number_and_time(tmp_path, monkeypatch):
+    # Guards against connections that pile up while discovery answers nothing.
+    monkeypatch.setattr(late_calls, "LATE_ANSWER_TIMEOUT_S", 0.3)
+    discovery = FakeDiscovery(A)
+    async with run_node(tmp_path, discovery, known=[A]) as running:
+        client = running.node.discovery
+        await until(lambda: "after=5&" in "".join(discovery.paths))
+        discovery.failure = "silent"
+        for _ in range(3 * late_calls.MAX_LATE_CALLS):
+            paths = len(discovery.paths)
+            client.request_full_list()
+            await until(lambda before=paths: len(discovery.paths) > before)
+        assert len(client.late_calls.deadlines) == late_calls.MAX_LATE_CALLS
+        held = list(client.late_calls.deadlines)
+        await until(lambda: not client.late_calls.deadlines)
+        assert not any(call.connection.is_open for call in held)
+
+
 async def test_calls_that_are_reset_do_not_lengthen_the_wait_for_an_answer(tmp_path):
     # Guards against a lost answer that is noticed seconds late because calls before it were reset.
     discovery, settings = FakeDiscovery(A), settings_with(askWithin=2000.0)
