--- a/foxstep/node/streams.py
+++ b/foxstep/node/streams.py
@@ -34,6 +34,9 @@
 HIGH_WATER_BYTES = 65_536  # unsent bytes of a connection above which further updates are folded into one
 MAX_PENDING_MARKS = 64  # marks of a connection that await their answer; beyond it the oldest is dropped
 READ_BUFFER_BYTES = 65_536
+# That one connection may read before the others are served again: a short line costs as much as a long one,
+# and the whole buffer can hold 20,000 of them.
+READ_BYTES_PER_TURN = 4_096
 PARTIAL_MEMORY_FRACTION = 1 / 16  # of the memory limit, for the incomplete messages of all connections
 
 
@@ -48,7 +51,7 @@
         self.sock = sock
         self.number = next(acceptor.numbers)  # in the order in which connections were accepted
         self.transport = None
-        self.partial = b""  # received bytes of an incomplete message
+        self.partial = bytearray()  # received bytes of an incomplete message
         self.ident = self.zone = None  # the proxy's number; the zone of a proxy or a collector
         self.handshake_timer = None
         self.pending = None  # (holding, message) that waits until the peer reads
@@ -67,13 +70,18 @@
         )
 
     def get_buffer(self, sizehint):
-        return self.acceptor.buffer
+        return self.acceptor.buffer[:READ_BYTES_PER_TURN]
 
     def buffer_updated(self, size):
         data = bytes(self.acceptor.buffer[:size])
-        data = self.partial + data if self.partial else data
         self.acceptor.partial_bytes -= len(self.partial)
-        *lines, self.partial = data.split(b"\n")
+        lines = []
+        if b"\n" in data:
+            first, *lines, rest = data.split(b"\n")
+            lines.insert(0, bytes(self.partial) + first)
+            self.partial = bytearray(rest)
+        else:
+            self.partial += data
         self.acceptor.partial_bytes += len(self.partial)
         for line in lines:
             if self.closed:
@@ -271,7 +279,8 @@
         self.end_handshake()
         self.acceptor.connections.pop(self, None)
         self.acceptor.partial_bytes -= len(self.partial)
-        self.partial, self.pending = b"", None
+        self.partial = bytearray()
+        self.pending = None
         self.marks.clear()
         if self.ident is not None:
             self.host.left(self.ident, self, reason)
--- a/tests/test_node_races.py
+++ b/tests/test_node_races.py
@@ -22,7 +22,7 @@
 from foxstep.node import late_calls
 from foxstep.node.discovery import CONNECT_TIMEOUT_S, RESPONSE_TIMEOUT_S, FailureKind, PollEnd
 from foxstep.node.late_calls import Answer, Call
-from foxstep.node.streams import HANDSHAKE_TIMEOUT_S, Connection
+from foxstep.node.streams import HANDSHAKE_TIMEOUT_S, READ_BYTES_PER_TURN, Connection
 from foxstep.standins.ports import free_ports
 
 pytestmark = pytest.mark.anyio
@@ -104,6 +104,28 @@
         connection.end_handshake()
 
 
+async def test_client_that_sends_short_lines_leaves_every_turn_to_the_others(tmp_path, monkeypatch):
+    # Guards against clients that wait while one client's 20,000 short lines are handled in one turn.
+    handled_in_turn, turns = 0, []
+    receive_line = Connection.receive_line
+
+    def count_line(connection, line):
+        nonlocal handled_in_turn
+        handled_in_turn += 1
+        receive_line(connection, line)
+
+    monkeypatch.setattr(Connection, "receive_line", count_line)
+    async with run_node(tmp_path, FakeDiscovery(A), known=[A]) as running:
+        collector = await running.connect()
+        await collector.send({"@type": "collector", "locality": "east"})
+        collector.writer.write(b"{}\n" * 30_000)
+        while sum(turns) < 30_001:
+            handled_in_turn = 0
+            await anyio.sleep(0)
+            turns.append(handled_in_turn)
+        assert max(turns) <= READ_BYTES_PER_TURN < 5_000
+
+
 async def test_mark_of_a_reset_stream_cannot_be_answered_on_the_next_stream(tmp_path):
     discovery = FakeDiscovery(A, B)
     async with run_node(tmp_path, discovery, known=[A, B]) as running:
