--- a/tests/test_proxy_fuzz.py
+++ b/tests/test_proxy_fuzz.py
@@ -13,9 +13,10 @@
 from hypothesis import strategies as st
 from live import SITE
 
+from foxstep.proxy.client_connection import ClientConnection
 from foxstep.proxy.control import ENDPOINT_TYPE, ROUTES_TYPE
 from foxstep.proxy.forward import ORCA_TRAILER, parse_orca_report
-from foxstep.proxy.listener import ClientConnection, Listener
+from foxstep.proxy.listener import Listener
 from foxstep.proxy.program import Proxy
 from foxstep.proxy.table import ChangeRejected
 from foxstep.proxy.upstream import Connection, Pool, TryFailed
@@ -38,9 +39,21 @@
     def close(self):
         self.closed = True
 
+    def abort(self):
+        self.closed = True
+
     def get_extra_info(self, name):
         return None
 
+    def get_write_buffer_size(self):
+        return 0
+
+    def set_write_buffer_limits(self, high): ...
+
+    def pause_reading(self): ...
+
+    def resume_reading(self): ...
+
 
 def talk(protocol, pieces):
     """Feeds the pieces to a protocol until it closes its transport, then reports the connection as lost."""
