--- a/foxstep/proxy/forward.py
+++ b/foxstep/proxy/forward.py
@@ -19,6 +19,10 @@
 ORCA_TRAILER = b"endpoint-load-metrics-bin"
 
 
+class ClientLeftError(Exception):
+    """The client has closed its connection: it may try the op again elsewhere, so it is not sent on."""
+
+
 def parse_timeout(headers):
     """The timeout of the client's `grpc-timeout` header in seconds, or None."""
     for name, value in headers:
@@ -128,6 +132,8 @@
                 async with asyncio.timeout(min(remaining, try_timeout or remaining)):
                     status, load = await self.send_try(op, name, server, remaining)
                 failure = "error" if status else None
+            except ClientLeftError:
+                return
             except TryFailed as error:
                 status = UNAVAILABLE
                 load = None
@@ -169,9 +175,12 @@
         """Sends one try and relays its answer.
 
         Returns (0, load) if a successful answer was passed on, (True, load) if an error was passed on, and
-        (headers, load) for an error that was not. Raises TryFailed, TimeoutError.
+        (headers, load) for an error that was not. Raises TryFailed, TimeoutError, and ClientLeftError before
+        anything was sent.
         """
         connection = await self.pool(server).get(remaining)
+        if op.client_has_left():
+            raise ClientLeftError
         headers = [(k, v) for k, v in op.headers if k not in REPLACED_HEADERS]
         headers += [(b"te", b"trailers"), (b"grpc-timeout", b"%dm" % max(1, round(remaining * 1000)))]
         empty = op.body_ended and not op.parts and not op.released
--- a/foxstep/proxy/op.py
+++ b/foxstep/proxy/op.py
@@ -71,6 +71,10 @@
         self.hold(-flow_bytes)
         return flow_bytes
 
+    def client_has_left(self):
+        """Whether the client has closed its connection, though that may not have been read yet."""
+        return self.cancelled or self.client.has_left()
+
     # -- the answer
 
     def send_head(self, headers, end=False):
--- a/tests/test_proxy_listener.py
+++ b/tests/test_proxy_listener.py
@@ -1,6 +1,7 @@
 """The proxy's listener limits what one client, or hundreds of half-written ones, can take from the others."""
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager
 
 import anyio
@@ -232,3 +233,24 @@
             await until(lambda: client.http2.highest_inbound_stream_id == 39 and not client.ops)
             await until(lambda: client.http2.inbound_flow_control_window > before - 200_000)
             assert running.proxy.listener.held_bytes == 0
+
+
+# -- clients that leave
+
+
+async def test_ops_of_a_client_that_has_left_are_not_sent_on():
+    # Guards against an op that runs although its client has left, and again when the client comes back.
+    server = await ScriptedServer("ok").open()
+    async with RunningProxy([server.ident]) as running:
+        await running.op()
+        assert len(server.seen) == 1
+        with socket.create_connection(("127.0.0.1", running.proxy.listener.port)) as client:
+            client.sendall(PREFACE + frame(SETTINGS))
+            await until(lambda: len(running.proxy.listener.clients) == 2)
+            await anyio.sleep(0.05)
+            # The event loop does not run between the requests and the end of the connection.
+            client.sendall(b"".join(request(k) for k in range(1, 400, 2)))
+        await until(lambda: len(running.proxy.listener.clients) == 1)
+        await anyio.sleep(0.1)
+        assert len(server.seen) == 1
+        assert not running.proxy.listener.held_bytes
