--- a/foxstep/proxy/listener.py
+++ b/foxstep/proxy/listener.py
@@ -74,4 +74,5 @@
             for op in list(client.ops.values()):
                 op.task.cancel()
             await asyncio.sleep(0)
-            client.end()
+            client.write_out()
+            client.transport.close()  # after the last answers are written
