--- a/foxstep/node/discovery.py
+++ b/foxstep/node/discovery.py
@@ -253,8 +253,7 @@
             if call.accepted_before == self.accepted_count:
                 self.accept(server_list, answer.is_full_list, initial=True)
             elif server_list.index > self.index:
-                self.host.listed("whole" if server_list.snapshot else "changes", self.apply(server_list))
-                self.index = server_list.index
+                self.take_over(server_list, report_empty=True)
         except (RefusedError, *CALL_ERRORS) as error:
             self.log.warning("late answer rejected", why=str(error)[:MAX_REASON_LENGTH])
 
@@ -263,15 +262,21 @@
         RefusedError or ConfigError."""
         if reason := self.reason_to_reject(server_list):
             raise RefusedError(reason)
-        lines = self.apply(server_list)
-        self.index = server_list.index
+        self.take_over(server_list, report_empty=initial)
         self.accepted_count += 1
         self.catch_up_timeout_s = RESPONSE_TIMEOUT_S
         if self.changes_lost:
             self.changes_lost_at = None
-            self.log.info("list current again", index=self.index, changed=len(lines))
+            changed = len(server_list.endpoints)
+            self.log.info("list current again", index=self.index, changed=changed)
         self.full_list_requested = self.full_list_requested and not is_full_list
-        if lines or initial or server_list.snapshot:
+
+    def take_over(self, server_list, report_empty):
+        """Applies a list and reports it to the host, one without changes only if `report_empty` is set. Raises
+        ConfigError."""
+        lines = self.apply(server_list)
+        self.index = server_list.index
+        if lines or report_empty or server_list.snapshot:
             self.host.listed("whole" if server_list.snapshot else "changes", lines)
 
     def connect_timeout_s(self):
--- a/foxstep/node/late_calls.py
+++ b/foxstep/node/late_calls.py
@@ -58,12 +58,11 @@
         """Passes on the answer of a call, if it has got one, and ends the call."""
         if call not in self.deadlines:
             return
+        self.end(call)
         try:
             status, body = call.response.result()
         except (HttpConnectionError, asyncio.CancelledError):
-            self.end(call)
             return
-        self.end(call)
         self.on_answer(call, Answer(call.is_full_list, status, body))
 
     def end(self, call):
--- a/foxstep/node/streams.py
+++ b/foxstep/node/streams.py
@@ -33,9 +33,8 @@
 OUT_OF_RESOURCES_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 HIGH_WATER_BYTES = 65_536  # unsent bytes of a connection above which further updates are folded into one
 MAX_PENDING_MARKS = 64  # marks of a connection that await their answer; beyond it the oldest is dropped
-READ_BUFFER_BYTES = 65_536
 # That one connection may read before the others are served again: a short line costs as much as a long one,
-# and the whole buffer can hold 20,000 of them.
+# and 64 KB can hold 20,000 of them.
 READ_BYTES_PER_TURN = 4_096
 PARTIAL_MEMORY_FRACTION = 1 / 16  # of the memory limit, for the incomplete messages of all connections
 
@@ -70,19 +69,17 @@
         )
 
     def get_buffer(self, sizehint):
-        return self.acceptor.buffer[:READ_BYTES_PER_TURN]
+        return self.acceptor.buffer
 
     def buffer_updated(self, size):
-        data = bytes(self.acceptor.buffer[:size])
-        self.acceptor.partial_bytes -= len(self.partial)
+        known_bytes = len(self.partial)
+        self.partial += self.acceptor.buffer[:size]
         lines = []
-        if b"\n" in data:
-            first, *lines, rest = data.split(b"\n")
-            lines.insert(0, bytes(self.partial) + first)
-            self.partial = bytearray(rest)
-        else:
-            self.partial += data
-        self.acceptor.partial_bytes += len(self.partial)
+        if (
+            self.partial.find(b"\n", known_bytes) >= 0
+        ):  # else a long message would be copied for each part of it
+            *lines, self.partial = self.partial.split(b"\n")
+        self.acceptor.partial_bytes += len(self.partial) - known_bytes
         for line in lines:
             if self.closed:
                 return
@@ -296,7 +293,7 @@
         self.host = host
         self.log = structlog.get_logger("foxstep.streams")
         self.parse_load = parse_load
-        self.buffer = memoryview(bytearray(READ_BUFFER_BYTES))
+        self.buffer = memoryview(bytearray(READ_BYTES_PER_TURN))
         self.connections = {}  # all connections, as a set in the order of acceptance
         self.pending_connections = {}  # those without a handshake yet, as a set in the same order
         self.numbers = count()
--- a/foxstep/proxy/client_connection.py
+++ b/foxstep/proxy/client_connection.py
@@ -13,6 +13,7 @@
 from foxstep.proxy.http2 import Http2Protocol
 from foxstep.proxy.inbound_frames import HeaderBlockTooLongError, InboundFrames
 from foxstep.proxy.op import MAX_REPLAY_BYTES, Op
+from foxstep.proxy.status import RESOURCE_EXHAUSTED
 
 CONFIG = h2.config.H2Configuration(
     client_side=False, header_encoding=None, validate_inbound_headers=True, normalize_outbound_headers=False
@@ -21,7 +22,6 @@
 MAX_HEADER_LIST_BYTES = 16_384  # of a request's decoded headers, with 32 for each as HTTP/2 counts them
 HEAD_TIMEOUT_S = 10.0  # for a preface, and for a header block that has begun
 HIGH_WATER_BYTES = 65_536  # unsent bytes above which nothing more is read from the client
-RESOURCE_EXHAUSTED = 8
 # Reported by poll() when the peer has closed its side, before what it sent earlier has been read. Linux only;
 # elsewhere it is noticed once all is read.
 END_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
