--- a/foxstep/node/discovery.py
+++ b/foxstep/node/discovery.py
@@ -272,8 +272,9 @@
         self.full_list_requested = self.full_list_requested and not is_full_list
 
     def take_over(self, server_list, report_empty):
-        """Applies a list and reports it to the host, one without changes only if `report_empty` is set. Raises
-        ConfigError."""
+        """Applies a list and reports it to the host; one without changes only if `report_empty` is set.
+
+        Raises ConfigError."""
         lines = self.apply(server_list)
         self.index = server_list.index
         if lines or report_empty or server_list.snapshot:
